--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,296 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// maxQueuedBytes bounds the memory that a slow peer can claim. It leaves room for several of the largest frames.
+const maxQueuedBytes = 4 * wire.MaxFrame
+
+// Peer is what a process told about itself in the handshake.
+type Peer struct {
+	Hello wire.Hello
+	// Dialled is set on the side that opened the connection.
+	Dialled bool
+}
+
+// Handler receives the events of a link. Its methods must not block for long.
+type Handler interface {
+	// OnMessage is called for each message except Ping, in the order of arrival, by one goroutine. It is called for
+	// Pong, so that the handler can compare versions, and for Ping after it was answered.
+	OnMessage(l *Link, m wire.Message)
+	// OnClose is called once, after the last OnMessage.
+	OnClose(l *Link, cause error)
+}
+
+// State tells what goes into the pings and pongs of a process.
+type State interface {
+	// Versions returns the version of the list of entries and the digest of the document revisions.
+	Versions() (list, documents uint64)
+}
+
+// Options configures a link. Stats and State may be shared by all links of a process.
+type Options struct {
+	Clock     clock.Clock
+	Stats     *Stats
+	State     State
+	Heartbeat time.Duration
+}
+
+// Link is an established connection to another process.
+type Link struct {
+	peer    Peer
+	conn    Conn
+	options Options
+	handler Handler
+
+	heartbeat    atomic.Int64 // interval in nanoseconds
+	lastReceived atomic.Int64 // nanoseconds since the Unix epoch
+	pingSequence atomic.Uint64
+
+	mu     sync.Mutex
+	queue  [][]byte
+	queued int
+	closed bool
+	cause  error
+
+	wake chan struct{}
+	done chan struct{}
+}
+
+func newLink(conn Conn, peer Peer, options Options) *Link {
+	l := &Link{
+		peer: peer, conn: conn, options: options,
+		wake: make(chan struct{}, 1), done: make(chan struct{}),
+	}
+	l.heartbeat.Store(int64(max(options.Heartbeat, minHeartbeat)))
+	l.touch()
+	return l
+}
+
+// Peer returns what the other side told about itself.
+func (l *Link) Peer() Peer { return l.peer }
+
+// Done is closed when the link is closed.
+func (l *Link) Done() <-chan struct{} { return l.done }
+
+// SetHeartbeat changes the interval of pings on the idle link.
+func (l *Link) SetHeartbeat(interval time.Duration) {
+	l.heartbeat.Store(int64(max(interval, minHeartbeat)))
+}
+
+// Start begins to carry messages. It must be called once.
+func (l *Link) Start(handler Handler) {
+	l.handler = handler
+	l.touch()
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.write(ctx)
+	go l.watch()
+	go func() {
+		l.read(ctx)
+		cancel()
+		handler.OnClose(l, l.Cause())
+	}()
+}
+
+// Send queues a message. It returns ErrClosed, ErrQueueFull or an error of the encoder. A message that was queued may
+// still be lost when the link closes.
+func (l *Link) Send(m wire.Message) error {
+	frame, err := wire.Encode(m)
+	if err != nil {
+		return eris.Wrap(err, "send")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return ErrClosed
+	}
+	if l.queued+len(frame) > maxQueuedBytes {
+		return ErrQueueFull
+	}
+	l.queue = append(l.queue, frame)
+	l.queued += len(frame)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Probe sends a ping at once and closes the link when nothing is received within the given time.
+func (l *Link) Probe(within time.Duration) {
+	if l.ping() != nil {
+		return
+	}
+	sent := l.options.Clock.Now()
+	timer := l.options.Clock.NewTimer(within)
+	go func() {
+		defer timer.Stop()
+		select {
+		case <-l.done:
+		case <-timer.C():
+			if l.receivedAt().Before(sent) {
+				l.options.Stats.Silent.Add(1)
+				l.Close(ErrSilent)
+			}
+		}
+	}()
+}
+
+// Close closes the connection at once. Queued messages are dropped.
+func (l *Link) Close(cause error) {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return
+	}
+	l.closed = true
+	l.cause = cause
+	l.queue = nil
+	l.mu.Unlock()
+	close(l.done)
+	_ = l.conn.Close()
+}
+
+// Cause returns why the link was closed, or nil while it is open.
+func (l *Link) Cause() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cause
+}
+
+// Flush waits until the queued messages were written or the context ends.
+func (l *Link) Flush(ctx context.Context) error {
+	const pollInterval = 5 * time.Millisecond
+	for {
+		l.mu.Lock()
+		empty, closed := l.queued == 0, l.closed
+		l.mu.Unlock()
+		if closed {
+			return ErrClosed
+		}
+		if empty {
+			return nil
+		}
+		timer := l.options.Clock.NewTimer(pollInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C():
+		}
+	}
+}
+
+func (l *Link) touch() { l.lastReceived.Store(l.options.Clock.Now().UnixNano()) }
+
+func (l *Link) receivedAt() time.Time { return time.Unix(0, l.lastReceived.Load()) }
+
+func (l *Link) read(ctx context.Context) {
+	for {
+		frame, err := l.conn.ReadFrame(ctx)
+		if err != nil {
+			l.Close(eris.Wrapf(ErrClosed, "%v", err))
+			return
+		}
+		l.touch()
+		m, err := wire.Decode(frame)
+		if err != nil {
+			l.Close(eris.Wrap(err, "receive"))
+			return
+		}
+		l.options.Stats.countReceived(frame, !l.peer.Dialled)
+		if ping, ok := m.(*wire.Ping); ok {
+			l.pong(ping)
+		}
+		l.handler.OnMessage(l, m)
+	}
+}
+
+func (l *Link) write(ctx context.Context) {
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-l.wake:
+		}
+		for _, frame := range l.takeQueue() {
+			if !l.writeFrame(ctx, frame) {
+				return
+			}
+		}
+	}
+}
+
+func (l *Link) takeQueue() [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	frames := l.queue
+	l.queue = nil
+	return frames
+}
+
+func (l *Link) writeFrame(ctx context.Context, frame []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := l.conn.WriteFrame(ctx, frame); err != nil {
+		l.Close(eris.Wrapf(ErrClosed, "%v", err))
+		return false
+	}
+	l.mu.Lock()
+	l.queued -= len(frame)
+	l.mu.Unlock()
+	l.options.Stats.countSent(frame, l.peer.Dialled)
+	return true
+}
+
+// watch sends a ping when nothing was received for one interval and closes the link after silentIntervals.
+func (l *Link) watch() {
+	timer := l.options.Clock.NewTimer(time.Duration(l.heartbeat.Load()))
+	defer timer.Stop()
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-timer.C():
+		}
+		interval := time.Duration(l.heartbeat.Load())
+		idle := l.options.Clock.Now().Sub(l.receivedAt())
+		if idle >= silentIntervals*interval {
+			l.options.Stats.Silent.Add(1)
+			l.Close(ErrSilent)
+			return
+		}
+		if idle >= interval {
+			_ = l.ping()
+			timer.Reset(interval)
+			continue
+		}
+		timer.Reset(interval - idle)
+	}
+}
+
+func (l *Link) ping() error {
+	list, documents := l.versions()
+	return l.Send(&wire.Ping{Sequence: l.pingSequence.Add(1), ListVersion: list, DocumentDigest: documents})
+}
+
+func (l *Link) pong(ping *wire.Ping) {
+	list, documents := l.versions()
+	_ = l.Send(&wire.Pong{Sequence: ping.Sequence, ListVersion: list, DocumentDigest: documents})
+}
+
+func (l *Link) versions() (list, documents uint64) {
+	if l.options.State == nil {
+		return 0, 0
+	}
+	return l.options.State.Versions()
+}
--- /dev/null
+++ b/internal/link/stats.go
@@ -0,0 +1,68 @@
+package link
+
+import (
+	"sync/atomic"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Stats counts frames and bytes of all links of a process, apart for control and for work. Bytes include the WebSocket
+// header but not the headers of TCP and IP.
+type Stats struct {
+	SentFrames, SentBytes         [2]atomic.Uint64
+	ReceivedFrames, ReceivedBytes [2]atomic.Uint64
+	Silent                        atomic.Uint64
+}
+
+// Class tells control messages from messages that carry work.
+type Class int
+
+// Classes of messages; they index the arrays of Stats.
+const (
+	Control Class = 0
+	Work    Class = 1
+)
+
+// ClassOf returns the class of a message type.
+func ClassOf(t wire.Type) Class {
+	switch t {
+	case wire.TypeStart, wire.TypeResult, wire.TypeAccepted, wire.TypeCancel,
+		wire.TypeForward, wire.TypeForwardReply, wire.TypeForwardCancel:
+		return Work
+	default:
+		return Control
+	}
+}
+
+// Sizes of the WebSocket frame header, which depends on the payload length (RFC 6455, section 5.2).
+const (
+	shortPayload  = 125
+	mediumPayload = 1<<16 - 1
+	maskBytes     = 4
+)
+
+func headerBytes(payload int, masked bool) int {
+	size := 2
+	switch {
+	case payload > mediumPayload:
+		size += 8
+	case payload > shortPayload:
+		size += 2
+	}
+	if masked {
+		size += maskBytes
+	}
+	return size
+}
+
+func (s *Stats) countSent(frame []byte, masked bool) {
+	class := ClassOf(wire.Type(frame[0]))
+	s.SentFrames[class].Add(1)
+	s.SentBytes[class].Add(uint64(len(frame) + headerBytes(len(frame), masked)))
+}
+
+func (s *Stats) countReceived(frame []byte, masked bool) {
+	class := ClassOf(wire.Type(frame[0]))
+	s.ReceivedFrames[class].Add(1)
+	s.ReceivedBytes[class].Add(uint64(len(frame) + headerBytes(len(frame), masked)))
+}
--- /dev/null
+++ b/internal/link/transport.go
@@ -0,0 +1,108 @@
+// Package link carries messages between two processes of the system over one connection. It finds connections that
+// went silent and counts what it sends.
+package link
+
+import (
+	"context"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/coder/websocket"
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Path is the HTTP path on which a process accepts links.
+const Path = "/link"
+
+// Errors of this package.
+var (
+	ErrClosed    = eris.New("link is closed")
+	ErrSilent    = eris.New("peer is silent")
+	ErrQueueFull = eris.New("send queue is full")
+	ErrRefused   = eris.New("peer refused the link")
+	ErrDial      = eris.New("peer cannot be reached")
+	ErrHandshake = eris.New("handshake failed")
+)
+
+// Conn is a connection that keeps the boundaries of frames.
+type Conn interface {
+	// ReadFrame returns the next frame. It is called by one goroutine at a time.
+	ReadFrame(ctx context.Context) ([]byte, error)
+	// WriteFrame sends one frame. It is called by one goroutine at a time.
+	WriteFrame(ctx context.Context, frame []byte) error
+	// Close releases the connection at once and unblocks readers and writers.
+	Close() error
+}
+
+// Dialer opens connections to other processes.
+type Dialer interface {
+	// Dial connects to host:port. It returns ErrDial when the peer cannot be reached.
+	Dial(ctx context.Context, address string) (Conn, error)
+}
+
+// WebSocketDialer opens WebSocket connections and authenticates with the link token.
+type WebSocketDialer struct {
+	Token string
+	// DialContext replaces the TCP dialer when it is set.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Dial implements Dialer.
+func (d WebSocketDialer) Dial(ctx context.Context, address string) (Conn, error) {
+	options := &websocket.DialOptions{
+		HTTPHeader:      http.Header{"Authorization": {bearerPrefix + d.Token}},
+		CompressionMode: websocket.CompressionDisabled,
+		HTTPClient:      &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true}},
+	}
+	conn, response, err := websocket.Dial(ctx, "ws://"+address+Path, options)
+	if err != nil {
+		if response != nil && response.StatusCode == http.StatusUnauthorized {
+			return nil, eris.Wrapf(ErrRefused, "%s: link token does not match", address)
+		}
+		return nil, eris.Wrapf(ErrDial, "%s: %v", address, err)
+	}
+	return newWebSocketConn(conn), nil
+}
+
+const bearerPrefix = "Bearer "
+
+// Authorized reports whether the request carries the bearer token. The comparison takes constant time.
+func Authorized(r *http.Request, token string) bool {
+	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	return ok && subtle.ConstantTimeCompare([]byte(given), []byte(token)) == 1
+}
+
+// Upgrade turns an HTTP request for Path into a connection. On error the response was already written.
+func Upgrade(w http.ResponseWriter, r *http.Request, token string) (Conn, error) {
+	if !Authorized(r, token) {
+		http.Error(w, "link token does not match", http.StatusUnauthorized)
+		return nil, eris.Wrap(ErrRefused, "link token does not match")
+	}
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return nil, eris.Wrapf(ErrHandshake, "%v", err)
+	}
+	return newWebSocketConn(conn), nil
+}
+
+type webSocketConn struct{ conn *websocket.Conn }
+
+func newWebSocketConn(conn *websocket.Conn) webSocketConn {
+	conn.SetReadLimit(wire.MaxFrame)
+	return webSocketConn{conn}
+}
+
+func (c webSocketConn) ReadFrame(ctx context.Context) ([]byte, error) {
+	_, frame, err := c.conn.Read(ctx)
+	return frame, err
+}
+
+func (c webSocketConn) WriteFrame(ctx context.Context, frame []byte) error {
+	return c.conn.Write(ctx, websocket.MessageBinary, frame)
+}
+
+func (c webSocketConn) Close() error { return c.conn.CloseNow() }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,147 @@
+// Package settings reads the settings of a process from flags and environment variables and checks them.
+package settings
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+)
+
+// EnvPrefix begins the name of each environment variable.
+const EnvPrefix = "COLTSFOOTSPUR_"
+
+// ErrInvalid is returned for a setting whose value is not allowed.
+var ErrInvalid = eris.New("invalid setting")
+
+// Set holds the settings of one subcommand. A flag wins over an environment variable, and that over the default.
+type Set struct {
+	sub     *flaggy.Subcommand
+	entries []*entry
+}
+
+type entry struct {
+	name, fallback, flag string
+	allowed              string
+	assign               func(value string) error
+}
+
+// NewSet returns an empty set whose flags belong to the subcommand.
+func NewSet(sub *flaggy.Subcommand) *Set { return &Set{sub: sub} }
+
+// EnvName returns the environment variable of a setting.
+func EnvName(name string) string {
+	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+}
+
+// Custom adds a setting whose value assign parses and stores. An error of assign makes the value invalid; allowed
+// describes what assign accepts.
+func (s *Set) Custom(name, fallback, usage, allowed string, assign func(value string) error) {
+	e := &entry{name: name, fallback: fallback, allowed: allowed, assign: assign}
+	s.entries = append(s.entries, e)
+	description := fmt.Sprintf("%s (%s; environment %s", usage, allowed, EnvName(name))
+	if fallback != "" {
+		description += "; default " + fallback
+	}
+	s.sub.String(&e.flag, "", name, description+")")
+}
+
+// String adds a setting with any text. Required settings must not be empty.
+func (s *Set) String(target *string, name, fallback, usage string, required bool) {
+	allowed := "text"
+	if required {
+		allowed = "non-empty text"
+	}
+	s.Custom(name, fallback, usage, allowed, func(value string) error {
+		if required && value == "" {
+			return eris.New("is not set")
+		}
+		*target = value
+		return nil
+	})
+}
+
+// List adds a setting with texts separated by commas.
+func (s *Set) List(target *[]string, name, fallback, usage string) {
+	s.Custom(name, fallback, usage, "texts separated by commas", func(value string) error {
+		*target = nil
+		for item := range strings.SplitSeq(value, ",") {
+			if item = strings.TrimSpace(item); item != "" {
+				*target = append(*target, item)
+			}
+		}
+		return nil
+	})
+}
+
+// Int adds a whole number between low and high.
+func (s *Set) Int(target *int, name string, fallback, low, high int, usage string) {
+	allowed := fmt.Sprintf("whole number from %d to %d", low, high)
+	s.Custom(name, strconv.Itoa(fallback), usage, allowed, func(value string) error {
+		n, err := strconv.Atoi(value)
+		if err != nil || n < low || n > high {
+			return eris.New("is out of range")
+		}
+		*target = n
+		return nil
+	})
+}
+
+// Duration adds a duration between low and high.
+func (s *Set) Duration(target *time.Duration, name string, fallback, low, high time.Duration, usage string) {
+	allowed := fmt.Sprintf("duration from %s to %s", low, high)
+	s.Custom(name, fallback.String(), usage, allowed, func(value string) error {
+		d, err := time.ParseDuration(value)
+		if err != nil || d < low || d > high {
+			return eris.New("is out of range")
+		}
+		*target = d
+		return nil
+	})
+}
+
+// Choice adds a setting with one of a few values.
+func (s *Set) Choice(target *string, name, fallback, usage string, choices ...string) {
+	s.Custom(name, fallback, usage, "one of "+strings.Join(choices, ", "), func(value string) error {
+		for _, choice := range choices {
+			if value == choice {
+				*target = value
+				return nil
+			}
+		}
+		return eris.New("is not a choice")
+	})
+}
+
+// Bool adds a switch. Its flag takes a value, as in --json=true or --json true.
+func (s *Set) Bool(target *bool, name string, fallback bool, usage string) {
+	s.Custom(name, strconv.FormatBool(fallback), usage, "true or false", func(value string) error {
+		b, err := strconv.ParseBool(value)
+		if err != nil {
+			return eris.New("is not true or false")
+		}
+		*target = b
+		return nil
+	})
+}
+
+// Resolve assigns every setting. It returns ErrInvalid with a message that names the setting, its source and what is
+// allowed. lookup reads an environment variable, as os.LookupEnv does.
+func (s *Set) Resolve(lookup func(string) (string, bool)) error {
+	for _, e := range s.entries {
+		value, source := e.fallback, "default"
+		if fromEnv, ok := lookup(EnvName(e.name)); ok {
+			value, source = fromEnv, "environment variable "+EnvName(e.name)
+		}
+		if e.flag != "" {
+			value, source = e.flag, "flag --"+e.name
+		}
+		if err := e.assign(value); err != nil {
+			return eris.Wrapf(ErrInvalid, "%s (from %s): %q %v; allowed: %s", e.name, source, value, err, e.allowed)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,252 @@
+package wire
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Type is the first byte of a frame.
+type Type uint8
+
+// Message types. A number is never used again with another meaning.
+const (
+	TypeHello         Type = 1
+	TypeWelcome       Type = 2
+	TypePing          Type = 3
+	TypePong          Type = 4
+	TypeStart         Type = 5
+	TypeAccepted      Type = 6
+	TypeResult        Type = 7
+	TypeCancel        Type = 8
+	TypeQuery         Type = 9
+	TypeQueryReply    Type = 10
+	TypeLeaving       Type = 11
+	TypeCollect       Type = 12
+	TypeRecords       Type = 13
+	TypeForward       Type = 14
+	TypeForwardReply  Type = 15
+	TypeForwardCancel Type = 16
+	TypeInherit       Type = 17
+	TypeInherited     Type = 18
+	TypeHandover      Type = 19
+	TypeHandoverAck   Type = 20
+	TypeEntryList     Type = 21
+	TypeDocumentPush  Type = 22
+	TypeDocumentPull  Type = 23
+	TypeQuotaUsage    Type = 24
+	TypeAgentRoster   Type = 25
+)
+
+// MaxFrame is the largest frame in bytes that a process sends or accepts.
+const MaxFrame = 8 << 20
+
+// Limits of the decoder. They bound the memory that a malformed frame can claim before it is rejected.
+const (
+	maxArrayElements = 1 << 17
+	maxMapPairs      = 1 << 12
+	maxNesting       = 8
+)
+
+// Errors of the codec.
+var (
+	ErrUnknownType = eris.New("unknown message type")
+	ErrMalformed   = eris.New("malformed message")
+	ErrTooLarge    = eris.New("message exceeds the frame limit")
+)
+
+// Message is implemented by every message of this package.
+type Message interface {
+	// Type returns the message type.
+	Type() Type
+}
+
+// Type implements Message.
+func (*Hello) Type() Type { return TypeHello }
+
+// Type implements Message.
+func (*Welcome) Type() Type { return TypeWelcome }
+
+// Type implements Message.
+func (*Ping) Type() Type { return TypePing }
+
+// Type implements Message.
+func (*Pong) Type() Type { return TypePong }
+
+// Type implements Message.
+func (*Start) Type() Type { return TypeStart }
+
+// Type implements Message.
+func (*Accepted) Type() Type { return TypeAccepted }
+
+// Type implements Message.
+func (*Result) Type() Type { return TypeResult }
+
+// Type implements Message.
+func (*Cancel) Type() Type { return TypeCancel }
+
+// Type implements Message.
+func (*Query) Type() Type { return TypeQuery }
+
+// Type implements Message.
+func (*QueryReply) Type() Type { return TypeQueryReply }
+
+// Type implements Message.
+func (*Leaving) Type() Type { return TypeLeaving }
+
+// Type implements Message.
+func (*Collect) Type() Type { return TypeCollect }
+
+// Type implements Message.
+func (*Records) Type() Type { return TypeRecords }
+
+// Type implements Message.
+func (*Forward) Type() Type { return TypeForward }
+
+// Type implements Message.
+func (*ForwardReply) Type() Type { return TypeForwardReply }
+
+// Type implements Message.
+func (*ForwardCancel) Type() Type { return TypeForwardCancel }
+
+// Type implements Message.
+func (*Inherit) Type() Type { return TypeInherit }
+
+// Type implements Message.
+func (*Inherited) Type() Type { return TypeInherited }
+
+// Type implements Message.
+func (*Handover) Type() Type { return TypeHandover }
+
+// Type implements Message.
+func (*HandoverAck) Type() Type { return TypeHandoverAck }
+
+// Type implements Message.
+func (*EntryList) Type() Type { return TypeEntryList }
+
+// Type implements Message.
+func (*DocumentPush) Type() Type { return TypeDocumentPush }
+
+// Type implements Message.
+func (*DocumentPull) Type() Type { return TypeDocumentPull }
+
+// Type implements Message.
+func (*QuotaUsage) Type() Type { return TypeQuotaUsage }
+
+// Type implements Message.
+func (*AgentRoster) Type() Type { return TypeAgentRoster }
+
+func newMessage(t Type) Message {
+	switch t {
+	case TypeHello:
+		return new(Hello)
+	case TypeWelcome:
+		return new(Welcome)
+	case TypePing:
+		return new(Ping)
+	case TypePong:
+		return new(Pong)
+	case TypeStart:
+		return new(Start)
+	case TypeAccepted:
+		return new(Accepted)
+	case TypeResult:
+		return new(Result)
+	case TypeCancel:
+		return new(Cancel)
+	case TypeQuery:
+		return new(Query)
+	case TypeQueryReply:
+		return new(QueryReply)
+	case TypeLeaving:
+		return new(Leaving)
+	case TypeCollect:
+		return new(Collect)
+	case TypeRecords:
+		return new(Records)
+	case TypeForward:
+		return new(Forward)
+	case TypeForwardReply:
+		return new(ForwardReply)
+	case TypeForwardCancel:
+		return new(ForwardCancel)
+	case TypeInherit:
+		return new(Inherit)
+	case TypeInherited:
+		return new(Inherited)
+	case TypeHandover:
+		return new(Handover)
+	case TypeHandoverAck:
+		return new(HandoverAck)
+	case TypeEntryList:
+		return new(EntryList)
+	case TypeDocumentPush:
+		return new(DocumentPush)
+	case TypeDocumentPull:
+		return new(DocumentPull)
+	case TypeQuotaUsage:
+		return new(QuotaUsage)
+	case TypeAgentRoster:
+		return new(AgentRoster)
+	default:
+		return nil
+	}
+}
+
+var (
+	encMode = newEncMode()
+	decMode = newDecMode()
+)
+
+func newEncMode() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		MaxNestedLevels:  maxNesting,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the frame of a message. It returns ErrTooLarge when the frame exceeds MaxFrame.
+func Encode(m Message) ([]byte, error) {
+	body, err := encMode.Marshal(m)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode message")
+	}
+	if len(body)+1 > MaxFrame {
+		return nil, ErrTooLarge
+	}
+	frame := make([]byte, 0, len(body)+1)
+	frame = append(frame, byte(m.Type()))
+	return append(frame, body...), nil
+}
+
+// Decode parses a frame. It returns ErrMalformed, ErrUnknownType or ErrTooLarge.
+func Decode(frame []byte) (Message, error) {
+	if len(frame) == 0 {
+		return nil, ErrMalformed
+	}
+	if len(frame) > MaxFrame {
+		return nil, ErrTooLarge
+	}
+	m := newMessage(Type(frame[0]))
+	if m == nil {
+		return nil, eris.Wrapf(ErrUnknownType, "type %d", frame[0])
+	}
+	if err := decMode.Unmarshal(frame[1:], m); err != nil {
+		return nil, eris.Wrapf(ErrMalformed, "type %d: %v", frame[0], err)
+	}
+	return m, nil
+}
