--- /dev/null
+++ b/internal/command/subcommands.go
@@ -0,0 +1,6 @@
+package command
+
+// subcommands returns every subcommand of the program.
+func subcommands() ([]*subcommand, []*group) {
+	return []*subcommand{}, []*group{}
+}
