--- /dev/null
+++ b/internal/entry/attempts.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/dispatch"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Bounds for finding out that an agent does not react.
+const (
+	// ackTimeout is the time in which an agent acknowledges a start or returns its result.
+	ackTimeout = 500 * time.Millisecond
+	// probeTimeout is the time in which a suspected agent answers a ping before its link is closed.
+	probeTimeout = 500 * time.Millisecond
+)
+
+// attempt is one start of a task that has no result yet.
+type attempt struct {
+	id        uint64
+	job       *job
+	index     int
+	agent     *agentSession
+	acked     bool
+	cancelled bool
+	ackTimer  *timerEntry
+}
+
+func (a *attempt) ref() dispatch.TaskRef {
+	return dispatch.TaskRef{Job: a.job.id, Index: uint16(a.index)}
+}
+
+// assign sends what the policies decide to start now and gives up what they refuse.
+func (c *control) assign() {
+	for _, s := range c.services {
+		assignments, refusals := s.policy.Next(c.now)
+		for _, a := range assignments {
+			c.start(s, a)
+		}
+		for _, r := range refusals {
+			c.giveUp(r)
+		}
+	}
+}
+
+func (c *control) giveUp(r dispatch.Refusal) {
+	j := c.jobs[r.Ref.Job]
+	if j == nil {
+		return
+	}
+	index := int(r.Ref.Index)
+	outcome := c.untriedOutcome(j, index)
+	if r.Started {
+		outcome = wire.OutcomeUnknown
+	}
+	c.failJob(j, failure{reason: r.Reason, retryAfter: r.RetryAfter})
+	c.resolveTask(j, index, wire.TaskAnswer{Outcome: outcome})
+}
+
+// start sends one attempt to the agent that the policy chose.
+func (c *control) start(s *service, assignment dispatch.Assignment) {
+	j := c.jobs[assignment.Ref.Job]
+	session := c.agents[assignment.Upstream]
+	if j == nil || j.finished || session == nil || session.link == nil || !c.mayStart(j) {
+		c.refuseAssignment(s, assignment, j)
+		return
+	}
+	c.lastAttempt++
+	a := &attempt{id: c.lastAttempt, job: j, index: int(assignment.Ref.Index), agent: session}
+	if session.link.Send(c.startMessage(a, assignment)) != nil {
+		// The message was not queued, so the agent cannot have received it.
+		s.policy.Finished(c.now, assignment.Ref, assignment.Upstream,
+			dispatch.Result{State: dispatch.Refused, Reason: wire.RefusedDown})
+		return
+	}
+	c.metrics.starts.Add(1)
+	session.attempts[a.id] = a
+	t := &j.tasks[a.index]
+	t.attempts = append(t.attempts, a)
+	a.ackTimer = c.timers.add(c.now.Add(ackTimeout), func(time.Time) { c.ackMissing(a) })
+}
+
+// refuseAssignment returns an assignment that cannot be sent. A job that this entry may no longer start fails.
+func (c *control) refuseAssignment(s *service, assignment dispatch.Assignment, j *job) {
+	if j != nil && !j.finished && !c.mayStart(j) {
+		c.failJob(j, failure{reason: wire.ReasonExpelled})
+	}
+	s.policy.Finished(c.now, assignment.Ref, assignment.Upstream,
+		dispatch.Result{State: dispatch.Refused, Reason: wire.RefusedDown})
+}
+
+func (c *control) startMessage(a *attempt, assignment dispatch.Assignment) *wire.Start {
+	j := a.job
+	spec := &j.spec.Tasks[a.index]
+	path := spec.Path
+	if path == "" {
+		path = j.kind.Path
+	}
+	m := &wire.Start{
+		Attempt: a.id, Home: c.options.ID, HomeIncarnation: c.incarnation,
+		Key: j.key, Task: uint16(a.index), Tasks: uint16(len(j.tasks)),
+		Service: j.spec.Service, Kind: j.kind.Name, Method: j.kind.Method, Path: path,
+		Headers: spec.Headers, Body: spec.Body,
+		BudgetMillis: uint32(max(j.deadline.Sub(c.now).Milliseconds(), 1)),
+		Urgent:       j.kind.Urgent || j.spec.Urgent, Idempotent: j.kind.Idempotent,
+		Long: assignment.Long, Retry: assignment.Retry, DocumentRevision: j.service.revision,
+	}
+	if !j.issued {
+		m.ListVersion = c.list.Version
+	}
+	return m
+}
+
+// ackMissing suspects the link of an attempt that was neither acknowledged nor answered.
+func (c *control) ackMissing(a *attempt) {
+	if a.acked || a.agent.link == nil {
+		return
+	}
+	c.metrics.suspects.Add(1)
+	a.agent.link.Probe(probeTimeout)
+}
+
+// cancelAttempts asks the agents not to start the open attempts of a job.
+func (c *control) cancelAttempts(j *job) {
+	perAgent := make(map[*agentSession][]uint64)
+	for i := range j.tasks {
+		for _, a := range j.tasks[i].attempts {
+			if !a.cancelled {
+				a.cancelled = true
+				perAgent[a.agent] = append(perAgent[a.agent], a.id)
+			}
+		}
+	}
+	for session, ids := range perAgent {
+		if session.link != nil {
+			_ = session.link.Send(&wire.Cancel{Attempts: ids})
+		}
+	}
+}
+
+// endAttempt removes the attempt, tells the policy, and resolves the task when the policy does not try again.
+func (c *control) endAttempt(a *attempt, result dispatch.Result, answer wire.TaskAnswer) {
+	delete(a.agent.attempts, a.id)
+	c.timers.cancel(a.ackTimer)
+	j := a.job
+	t := &j.tasks[a.index]
+	t.attempts = slices.DeleteFunc(t.attempts, func(other *attempt) bool { return other == a })
+	if result.State != dispatch.Refused {
+		t.tried = true
+	}
+	verdict := j.service.policy.Finished(c.now, a.ref(), a.agent.id, result)
+	if j.finished || verdict == dispatch.Again || verdict == dispatch.Open {
+		return
+	}
+	if answer.Outcome != wire.OutcomeComplete {
+		c.failJob(j, failure{reason: failureReason(result), message: failureMessage(result)})
+	}
+	c.resolveTask(j, a.index, answer)
+}
+
+func failureReason(r dispatch.Result) wire.Reason {
+	switch {
+	case r.State == dispatch.Lost:
+		return wire.ReasonUpstreamLost
+	case r.Reason == wire.RefusedCancelled:
+		return wire.ReasonCancelled
+	case r.Reason == wire.RefusedExpired:
+		return wire.ReasonDeadline
+	case r.Reason == wire.RefusedFenced, r.Reason == wire.RefusedStaleList:
+		return wire.ReasonExpelled
+	case r.Reason == wire.RefusedDuplicate:
+		return wire.ReasonUpstreamLost
+	default:
+		return wire.ReasonUpstreamRefused
+	}
+}
+
+func failureMessage(r dispatch.Result) string {
+	if r.State == dispatch.Lost {
+		return "the result of a task that may have run was lost"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,135 @@
+// Package entry is the role that takes jobs from callers. It owns the submissions whose keys it is the home of, sends
+// their tasks to agents, and passes other jobs on to their home.
+//
+// One goroutine, the control goroutine, owns the state (type control). Goroutines of HTTP requests and links hand it
+// events and never touch the state themselves.
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/link"
+)
+
+// Errors of this package.
+var (
+	ErrListen  = eris.New("entry cannot listen")
+	ErrOptions = eris.New("invalid options of the entry")
+)
+
+// Entry is one process of the role.
+type Entry struct {
+	options     Options
+	log         log.Interface
+	incarnation uint64
+	startedAt   time.Time
+
+	events     chan func(*control)
+	stopped    chan struct{}
+	control    *control
+	linkStats  link.Stats
+	versions   versions
+	inProgress atomic.Int64
+	ready      atomic.Bool
+
+	callers, links net.Listener
+}
+
+// versions is what pings and pongs of this entry carry. It is written by the control goroutine.
+type versions struct{ list, documents atomic.Uint64 }
+
+// Versions implements link.State.
+func (v *versions) Versions() (list, documents uint64) { return v.list.Load(), v.documents.Load() }
+
+// New returns an entry that listens on its addresses but serves nothing before Run. It returns ErrOptions or ErrListen.
+func New(options Options) (*Entry, error) {
+	options = options.withDefaults()
+	if options.ID == "" || options.Store == nil {
+		return nil, eris.Wrap(ErrOptions, "id and store are required")
+	}
+	e := &Entry{
+		options: options, log: options.Log, incarnation: rand.Uint64() | 1, startedAt: options.Clock.Now(),
+		events: make(chan func(*control), eventQueueLength), stopped: make(chan struct{}),
+	}
+	var err error
+	if e.callers, err = net.Listen("tcp", options.CallerAddress); err != nil {
+		return nil, eris.Wrapf(ErrListen, "for callers: %v", err)
+	}
+	if e.links, err = net.Listen("tcp", options.LinkAddress); err != nil {
+		_ = e.callers.Close()
+		return nil, eris.Wrapf(ErrListen, "for links: %v", err)
+	}
+	if e.options.AdvertiseAddress == "" {
+		e.options.AdvertiseAddress = e.links.Addr().String()
+	}
+	e.control = newControl(e)
+	return e, nil
+}
+
+// CallerAddress returns the address on which callers are served.
+func (e *Entry) CallerAddress() string { return e.callers.Addr().String() }
+
+// LinkAddress returns the address on which links are accepted.
+func (e *Entry) LinkAddress() string { return e.links.Addr().String() }
+
+// Ready reports whether the entry wants to get new requests from the balancer.
+func (e *Entry) Ready() bool { return e.ready.Load() }
+
+// Header and idle limits of the HTTP servers. They bound what a slow or idle client can hold.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 32 << 10
+)
+
+func (e *Entry) httpServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// Run serves until the context ends, then stops gracefully: it finishes the jobs it holds, hands its submissions over
+// and returns. It returns early with an error when a listener fails.
+func (e *Entry) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	failed := make(chan error, 2)
+	callers := e.httpServer(e.newCallerServer())
+	links := e.httpServer(http.HandlerFunc(e.serveLink))
+	go serve(callers, e.callers, failed)
+	go serve(links, e.links, failed)
+	go e.run(background)
+	supervisor := e.supervise(background)
+	e.ready.Store(true)
+	e.log.WithField("id", e.options.ID).WithField("callers", e.CallerAddress()).
+		WithField("links", e.LinkAddress()).Info("entry: started")
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	stopping, stop := context.WithTimeout(background, e.options.StopTimeout)
+	defer stop()
+	e.stop(stopping, callers)
+	cancel()
+	<-e.stopped
+	<-supervisor
+	_ = links.Close()
+	_ = callers.Close()
+	return err
+}
+
+func serve(server *http.Server, listener net.Listener, failed chan<- error) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		failed <- eris.Wrap(err, "serve")
+	}
+}
--- /dev/null
+++ b/internal/entry/http.go
@@ -0,0 +1,254 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/api"
+	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// HeaderUrgent asks for urgent treatment of a request; the service document must allow it for the kind.
+const HeaderUrgent = "Coltsfootspur-Urgent"
+
+// newCallerServer returns the HTTP interface for callers.
+func (e *Entry) newCallerServer() *echo.Echo {
+	server := echo.New()
+	server.HideBanner, server.HidePort = true, true
+	server.HTTPErrorHandler = writeEchoError
+	group := server.Group("/v1/services/:service", e.authorizeCaller)
+	group.POST("/jobs", e.postJob)
+	group.POST("/requests/:kind", e.postRequest)
+	group.GET("/jobs/:key", e.getJob)
+	group.DELETE("/jobs/:key", e.deleteJob)
+	return server
+}
+
+func (e *Entry) authorizeCaller(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if e.options.CallerToken != "" && !link.Authorized(c.Request(), e.options.CallerToken) {
+			c.Response().Header().Set("WWW-Authenticate", "Bearer")
+			return refuse(c, wire.ReasonUnauthorized, "the caller's token is missing or wrong")
+		}
+		return next(c)
+	}
+}
+
+// postJob handles POST /v1/services/{service}/jobs.
+func (e *Entry) postJob(c echo.Context) error {
+	request, err := api.DecodeJob(c.Request().Body)
+	if err != nil {
+		return refuseRequest(c, err)
+	}
+	job := wire.Job{Kind: request.Kind, Tasks: request.Specs(), BudgetMillis: request.DeadlineMillis}
+	reply, err := e.submitFromCaller(c, job)
+	if err != nil {
+		return refuseRequest(c, err)
+	}
+	return writeReply(c, reply)
+}
+
+// postRequest handles POST /v1/services/{service}/requests/{kind}: a job of one task. The upstream's answer is passed on
+// as it is.
+func (e *Entry) postRequest(c echo.Context) error {
+	task, err := readSingle(c.Request())
+	if err != nil {
+		return refuseRequest(c, err)
+	}
+	budget, err := api.ParseDeadline(c.Request().Header.Get(api.HeaderDeadline))
+	if err != nil {
+		return refuseRequest(c, err)
+	}
+	job := wire.Job{
+		Kind: c.Param("kind"), BudgetMillis: budget,
+		Tasks: []wire.TaskSpec{{Headers: task.Headers, Body: task.Body}},
+	}
+	reply, err := e.submitFromCaller(c, job)
+	if err != nil {
+		return refuseRequest(c, err)
+	}
+	if reply.Answer != nil && reply.Answer.Outcome == wire.OutcomeComplete && len(reply.Answer.Tasks) == 1 {
+		return writeSingle(c, &reply.Answer.Tasks[0])
+	}
+	return writeReply(c, reply)
+}
+
+func readSingle(r *http.Request) (*api.TaskRequest, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, wire.MaxTaskBody))
+	if err != nil {
+		return nil, api.ReadError(err, wire.MaxTaskBody)
+	}
+	task := &api.TaskRequest{Headers: api.PassedHeaders(r.Header), Body: body}
+	return task, api.CheckTask(task)
+}
+
+// submitFromCaller completes the job from the request and waits for its answer. A caller without a key that goes away
+// cancels its job; one with a key does so only when it asked for it.
+func (e *Entry) submitFromCaller(c echo.Context, job wire.Job) (*wire.ForwardReply, error) {
+	header := c.Request().Header
+	job.Service = c.Param("service")
+	job.Urgent = header.Get(HeaderUrgent) == "true"
+	if value := header.Get(api.HeaderKey); value != "" {
+		key, err := api.ParseKey(value)
+		if err != nil {
+			return nil, err
+		}
+		job.Key = key
+	}
+	cancelOnClose := job.Key == "" || header.Get(api.HeaderCancelOnClose) == "true"
+	job.Digest = digestJob(&job)
+	e.inProgress.Add(1)
+	defer e.inProgress.Add(-1)
+	return e.exchange(c, submission{action: wire.ForwardSubmit, job: job}, cancelOnClose), nil
+}
+
+// exchange hands a request to the control goroutine and waits for the reply.
+func (e *Entry) exchange(c echo.Context, s submission, cancelOnClose bool) *wire.ForwardReply {
+	replies := make(chan *wire.ForwardReply, 1)
+	s.reply = func(r *wire.ForwardReply) { replies <- r }
+	issued := make(chan string, 1)
+	s.issued = func(key string) { issued <- key }
+	e.post(func(control *control) { control.submitted(s) })
+	ctx := c.Request().Context()
+	select {
+	case r := <-replies:
+		setIssuedKey(c, issued)
+		return r
+	case <-e.stopped:
+		return unknownReply(wire.ReasonStopping, "the entry was stopped")
+	case <-ctx.Done():
+		if cancelOnClose {
+			e.cancelAbandoned(s, issued)
+		}
+		return unknownReply(wire.ReasonCancelled, "the caller closed the connection")
+	}
+}
+
+func setIssuedKey(c echo.Context, issued <-chan string) {
+	select {
+	case key := <-issued:
+		c.Response().Header().Set(api.HeaderKey, key)
+	default:
+	}
+}
+
+// cancelAbandoned cancels the job of a caller that closed its connection.
+func (e *Entry) cancelAbandoned(s submission, issued <-chan string) {
+	e.post(func(control *control) {
+		job := wire.Job{Service: s.job.Service, Key: s.job.Key}
+		select {
+		case job.Key = <-issued:
+		default:
+		}
+		control.submitted(submission{action: wire.ForwardCancelJob, job: job, reply: func(*wire.ForwardReply) {}})
+	})
+}
+
+// getJob handles GET /v1/services/{service}/jobs/{key}.
+func (e *Entry) getJob(c echo.Context) error { return e.aboutKey(c, wire.ForwardState) }
+
+// deleteJob handles DELETE /v1/services/{service}/jobs/{key}. The reply is the final answer of the job.
+func (e *Entry) deleteJob(c echo.Context) error { return e.aboutKey(c, wire.ForwardCancelJob) }
+
+func (e *Entry) aboutKey(c echo.Context, action wire.ForwardAction) error {
+	key, err := api.ParseKey(c.Param("key"))
+	if err != nil {
+		return refuseRequest(c, err)
+	}
+	job := wire.Job{Service: c.Param("service"), Key: key}
+	return writeReply(c, e.exchange(c, submission{action: action, job: job}, false))
+}
+
+func refuse(c echo.Context, reason wire.Reason, message string) error {
+	return writeAnswer(c, &wire.Answer{Outcome: wire.OutcomeNotRun, Reason: reason, Message: message})
+}
+
+func refuseRequest(c echo.Context, err error) error {
+	var known *api.RequestError
+	if errors.As(err, &known) {
+		return writeJSON(c, known.Status, known.Answer(), 0)
+	}
+	return refuse(c, wire.ReasonInvalidRequest, "the request cannot be read")
+}
+
+func writeReply(c echo.Context, r *wire.ForwardReply) error {
+	switch r.Status {
+	case wire.ForwardAnswered:
+		return writeAnswer(c, r.Answer)
+	case wire.ForwardPending:
+		return writeJSON(c, http.StatusAccepted, &api.Answer{Outcome: api.OutcomeRunning}, 0)
+	case wire.ForwardConflict:
+		return refuse(c, wire.ReasonKeyConflict, "the idempotency key was used with another body")
+	case wire.ForwardNotFound:
+		answer := &api.Answer{Outcome: api.OutcomeUnknown, Reason: api.ReasonNoKey, Message: "the key is not known"}
+		return writeJSON(c, http.StatusNotFound, answer, 0)
+	default:
+		return writeAnswer(c, unknownReply(wire.ReasonHomeUnreachable, "").Answer)
+	}
+}
+
+func writeAnswer(c echo.Context, a *wire.Answer) error {
+	answer := api.AnswerFrom(a)
+	status := api.Status(answer.Outcome, answer.Reason)
+	return writeJSON(c, status, answer, time.Duration(a.RetryAfterMillis)*time.Millisecond)
+}
+
+func writeJSON(c echo.Context, status int, answer *api.Answer, retryAfter time.Duration) error {
+	header := c.Response().Header()
+	header.Set(echo.HeaderContentType, api.ContentType)
+	header.Set(api.HeaderOutcome, string(answer.Outcome))
+	if answer.Reason != "" {
+		header.Set(api.HeaderReason, string(answer.Reason))
+	}
+	if seconds := api.RetryAfter(answer.Outcome, answer.Reason, retryAfter); seconds != "" {
+		header.Set(echo.HeaderRetryAfter, seconds)
+	}
+	c.Response().WriteHeader(status)
+	return api.Encode(c.Response(), answer)
+}
+
+// writeSingle passes the upstream's answer to a single request on.
+func writeSingle(c echo.Context, a *wire.TaskAnswer) error {
+	header := c.Response().Header()
+	for _, h := range a.Headers {
+		header.Add(h.Name, h.Value)
+	}
+	header.Set(api.HeaderOutcome, string(api.OutcomeComplete))
+	c.Response().WriteHeader(int(a.Status))
+	_, err := c.Response().Write(a.Body)
+	return err
+}
+
+func writeEchoError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status := http.StatusInternalServerError
+	var known *echo.HTTPError
+	if errors.As(err, &known) {
+		status = known.Code
+	}
+	answer := &api.Answer{Outcome: api.OutcomeNotRun, Reason: wire.ReasonInvalidRequest, Message: http.StatusText(status)}
+	_ = writeJSON(c, status, answer, 0)
+}
+
+// waitIdle waits until no caller waits for an answer.
+func (e *Entry) waitIdle(ctx context.Context) error {
+	const pollInterval = 10 * time.Millisecond
+	for e.inProgress.Load() > 0 {
+		timer := e.options.Clock.NewTimer(pollInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C():
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/links.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// serveLink accepts a link from an agent or from another entry.
+func (e *Entry) serveLink(w http.ResponseWriter, r *http.Request) {
+	conn, err := link.Upgrade(w, r, e.options.LinkToken)
+	if err != nil {
+		e.log.WithField("cause", eris.ToString(err, false)).Warn("link: refused a connection")
+		return
+	}
+	l, err := link.Accept(r.Context(), conn, e.welcome, e.linkOptions())
+	if err != nil {
+		e.log.WithField("cause", eris.ToString(err, false)).Warn("link: handshake failed")
+		return
+	}
+	e.attach(l, nil)
+	<-l.Done()
+}
+
+// welcome answers the hello of a process that dialled.
+func (e *Entry) welcome(hello *wire.Hello) *wire.Welcome {
+	reply := make(chan *wire.Welcome, 1)
+	e.post(func(c *control) { reply <- c.welcome(hello) })
+	select {
+	case w := <-reply:
+		return w
+	case <-e.stopped:
+		return &wire.Welcome{Refused: "entry has stopped"}
+	}
+}
+
+func (c *control) welcome(hello *wire.Hello) *wire.Welcome {
+	list := c.list
+	w := &wire.Welcome{
+		ID: c.options.ID, Incarnation: c.incarnation, DataCentre: c.options.DataCentre, Region: c.options.Region,
+		HeartbeatMillis:   uint32(link.HeartbeatInterval(len(c.agents) + len(c.peers)).Milliseconds()),
+		DocumentRevisions: c.documentRevisions(), List: &list,
+	}
+	switch {
+	case hello.ID == "":
+		w.Refused = "the hello has no id"
+	case hello.Role == wire.RoleAgent:
+		w.Refused = c.refusesAgent(hello)
+		w.DocumentRevisions = nil
+	case hello.Role != wire.RoleEntry:
+		w.Refused = "the role is not known"
+	}
+	return w
+}
+
+func (e *Entry) linkOptions() link.Options {
+	return link.Options{Clock: e.options.Clock, Stats: &e.linkStats, State: &e.versions}
+}
+
+// attach starts a link whose handshake is done. The control goroutine takes it into use before its first message.
+func (e *Entry) attach(l *link.Link, list *wire.EntryList) {
+	agent := l.Peer().Hello.Role == wire.RoleAgent
+	e.post(func(c *control) {
+		if agent {
+			c.attachAgent(l)
+		} else {
+			c.attachPeer(l, list)
+		}
+	})
+	l.Start(&linkHandler{entry: e, agent: agent})
+}
+
+// linkHandler passes the events of a link to the control goroutine.
+type linkHandler struct {
+	entry *Entry
+	agent bool
+}
+
+// OnMessage implements link.Handler.
+func (h *linkHandler) OnMessage(l *link.Link, m wire.Message) {
+	h.entry.post(func(c *control) {
+		if h.agent {
+			c.agentMessage(l, m)
+		} else {
+			c.peerMessage(l, m)
+		}
+	})
+}
+
+// OnClose implements link.Handler.
+func (h *linkHandler) OnClose(l *link.Link, cause error) {
+	h.entry.post(func(c *control) {
+		if h.agent {
+			c.detachAgent(l, cause)
+		} else {
+			c.detachPeer(l, cause)
+		}
+	})
+}
+
+// dialPeer keeps a link to the entry at the address until the context ends. The entry with the lower id dials, so that two
+// entries have one link.
+func (e *Entry) dialPeer(ctx context.Context, address string) {
+	var backoff link.Backoff
+	for ctx.Err() == nil {
+		started := e.options.Clock.Now()
+		if l := e.dialOnce(ctx, address); l != nil {
+			select {
+			case <-l.Done():
+			case <-ctx.Done():
+				return
+			}
+		}
+		const stableLink = 5 * time.Second
+		if e.options.Clock.Now().Sub(started) > stableLink {
+			backoff.Reset()
+		}
+		e.sleep(ctx, backoff.Next())
+	}
+}
+
+func (e *Entry) dialOnce(ctx context.Context, address string) *link.Link {
+	hello := wire.Hello{
+		Role: wire.RoleEntry, ID: e.options.ID, Incarnation: e.incarnation,
+		DataCentre: e.options.DataCentre, Region: e.options.Region, StartedAt: e.startedAt,
+	}
+	err := e.call(ctx, func(c *control) {
+		hello.ListVersion, hello.DocumentRevisions = c.list.Version, c.documentRevisions()
+	})
+	if err != nil {
+		return nil
+	}
+	l, welcome, err := link.Dial(ctx, e.options.Dialer, address, hello, e.linkOptions())
+	if err != nil {
+		e.log.WithField("address", address).WithField("cause", eris.ToString(err, false)).
+			Debug("link: cannot reach another entry")
+		return nil
+	}
+	e.attach(l, welcome.List)
+	return l
+}
+
+func (e *Entry) sleep(ctx context.Context, d time.Duration) {
+	timer := e.options.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C():
+	}
+}
--- /dev/null
+++ b/internal/entry/options.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+)
+
+// Options configures an entry.
+type Options struct {
+	// ID names the entry and stays the same when it is restarted.
+	ID string
+	// DataCentre and Region tell where the entry runs.
+	DataCentre string
+	Region     string
+	// CallerAddress, LinkAddress and AdminAddress are the host:port on which the entry listens for callers, for other
+	// processes of the system and for operators.
+	CallerAddress string
+	LinkAddress   string
+	AdminAddress  string
+	// AdvertiseAddress is the host:port under which other processes reach LinkAddress. Empty means the address that
+	// the listener got.
+	AdvertiseAddress string
+	// Peers are link addresses of other entries, used while the store cannot be reached at start.
+	Peers []string
+	// LinkToken authenticates processes of the system to each other.
+	LinkToken string
+	// CallerToken is required from callers that change state; empty allows every caller.
+	CallerToken string
+	// OperatorToken is required at the operator endpoints; empty allows every operator.
+	OperatorToken string
+	// Retention is the time for which a submission is remembered. Default 10 min.
+	Retention time.Duration
+	// TableEntries bounds the number of remembered submissions. Default 1,000,000.
+	TableEntries int
+	// TableBytes bounds the bytes of remembered answers. Default 64 MiB.
+	TableBytes int
+	// LeaseTTL is the time to live of the entry's lease in the store. Default 15 s.
+	LeaseTTL time.Duration
+	// ExpulsionDelay is the time for which lease and link of another entry must be gone before it is removed.
+	// Default 10 s.
+	ExpulsionDelay time.Duration
+	// StopTimeout bounds a graceful shutdown. Default 75 s, which is longer than the longest deadline of a job.
+	StopTimeout time.Duration
+
+	// Store is the platform's service. Clock, Dialer and Log default to the system's.
+	Store  platform.Store
+	Clock  clock.Clock
+	Dialer link.Dialer
+	Log    log.Interface
+}
+
+// Defaults of Options.
+const (
+	DefaultRetention      = 10 * time.Minute
+	DefaultTableEntries   = 1_000_000
+	DefaultTableBytes     = 64 << 20
+	DefaultLeaseTTL       = 15 * time.Second
+	DefaultExpulsionDelay = 10 * time.Second
+	DefaultStopTimeout    = 75 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Retention, DefaultRetention)
+	setDefault(&o.TableEntries, DefaultTableEntries)
+	setDefault(&o.TableBytes, DefaultTableBytes)
+	setDefault(&o.LeaseTTL, DefaultLeaseTTL)
+	setDefault(&o.ExpulsionDelay, DefaultExpulsionDelay)
+	setDefault(&o.StopTimeout, DefaultStopTimeout)
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	if o.Dialer == nil {
+		o.Dialer = link.WebSocketDialer{Token: o.LinkToken}
+	}
+	if o.Log == nil {
+		o.Log = log.Log
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
