Add the dispatch policy with late binding and two baselines

Tasks wait at the entry and are sent when a slot is expected to be free. Random choice and least connections share the queue and the life cycle and differ only in the choice.

--- /dev/null
+++ b/internal/dispatch/choose.go
@@ -0,0 +1,278 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// outcome tells why a chooser returned an upstream or none.
+type outcome uint8
+
+const (
+	chosen outcome = iota
+	// poolFull: no upstream of the pool has room for any task.
+	poolFull
+	// queueBlocked: the task is better off waiting, or tasks of its kind have no room.
+	queueBlocked
+	// allAvoided: only upstreams that the task avoids have room.
+	allAvoided
+)
+
+// chooser picks the upstream for a task.
+type chooser interface {
+	// room tells whether an upstream is expected to have a free slot, and whether it may get a task at all.
+	room(e *engine, u *upstream, now instant) (idle, open bool)
+	// choose picks an upstream for a waiting task.
+	choose(e *engine, now instant, t *task) (*upstream, outcome)
+}
+
+// Parameters of the choice by expected completion.
+const (
+	// fullScan is the number of upstreams up to which all are compared.
+	fullScan = 16
+	// idleSample and openSample are the sizes of the samples beyond that.
+	idleSample = 8
+	openSample = 3
+	// remotePenalty is added for another data centre, so that a near upstream wins when it costs no time.
+	remotePenalty = 200 * time.Microsecond
+	// loadPenalty times the learned service time is the cost of a fully loaded upstream. It spreads work and lowers
+	// the chance that two entries choose the same last slot.
+	loadPenalty = 0.1
+	// queueReach is the number of round trips within which a slot has to become free for a task to be queued at the
+	// agent.
+	queueReach = 4
+)
+
+// expectedChooser implements ExpectedCompletion.
+type expectedChooser struct {
+	sample [idleSample + openSample]*upstream
+}
+
+func (c *expectedChooser) room(e *engine, u *upstream, now instant) (bool, bool) {
+	if u.barred(now) || u.restUntil > now || u.own() >= u.Slots+e.config.Queue {
+		return false, false
+	}
+	load := float64(u.own()) + u.otherLoad(now, e.memory(u))
+	slots := float64(u.Slots)
+	return load <= slots-1, load < slots+float64(e.config.Queue)
+}
+
+// loadMemory times the learned service time is the time in which a report of the load loses half its value.
+const loadMemory = 0.5
+
+// memory returns the time constant of the foreign load of an upstream.
+func (e *engine) memory(u *upstream) instant {
+	m := coldService
+	if len(e.kindList) > 0 {
+		m = e.kindList[0].times.median()
+	}
+	return max(instant(loadMemory*float64(m)), instant(10*time.Millisecond))
+}
+
+func (c *expectedChooser) choose(e *engine, now instant, t *task) (*upstream, outcome) {
+	p := t.job.kind.pool
+	if len(p.open) == 0 {
+		return nil, poolFull
+	}
+	var best *upstream
+	cost := math.Inf(1)
+	avoided, noRoom := false, true
+	for _, u := range c.candidates(e, p) {
+		x, ok := e.cost(now, t.job.kind, u)
+		if !ok {
+			continue
+		}
+		noRoom = false
+		if t.avoids(u, now) {
+			avoided = true
+			continue
+		}
+		if u.probing(now) {
+			return u, chosen
+		}
+		if x < cost {
+			best, cost = u, x
+		}
+	}
+	switch {
+	case best != nil && !e.worthwhile(now, t, cost):
+		return nil, queueBlocked
+	case best != nil:
+		return best, chosen
+	case noRoom:
+		return nil, queueBlocked
+	case avoided:
+		return nil, allAvoided
+	}
+	return nil, queueBlocked
+}
+
+// candidates returns all upstreams of a small pool and a sample of a large one.
+func (c *expectedChooser) candidates(e *engine, p *pool) []*upstream {
+	if len(p.open) <= fullScan {
+		return p.open
+	}
+	s := c.sample[:0]
+	for range min(idleSample, len(p.idle)) {
+		s = append(s, p.idle[e.random.IntN(len(p.idle))])
+	}
+	for range cap(s) - len(s) {
+		s = append(s, p.open[e.random.IntN(len(p.open))])
+	}
+	return s
+}
+
+// cost returns the expected completion of a task of a kind at an upstream, divided by its success rate. It returns
+// false when the upstream has no room for the kind.
+func (e *engine) cost(now instant, k *kind, u *upstream) (float64, bool) {
+	rate := e.successOf(now, k, u)
+	if rate < untrustedSuccess && u.own() > 0 {
+		return 0, false
+	}
+	foreign := u.otherLoad(now, e.memory(u))
+	if e.isLong(k) && !e.roomForLong(now, u) {
+		return 0, false
+	}
+	service := float64(e.service(k, u))
+	load := float64(u.own()) + foreign
+	wait := 0.0
+	if over := load + 1 - float64(u.Slots); over > 0 {
+		free := float64(e.nextFree(now, u))
+		if over >= 1 && free > queueReach*float64(u.roundTrip) {
+			return 0, false
+		}
+		wait = over * free
+	}
+	total := wait + service*(1+loadPenalty*load/float64(u.Slots)) + float64(u.roundTrip)
+	if !u.near {
+		total += float64(remotePenalty)
+	}
+	return total / rate, true
+}
+
+// roomForLong tells whether another long task may run at the upstream.
+func (e *engine) roomForLong(now instant, u *upstream) bool {
+	long := u.ownLong(now, instant(e.config.LongThreshold))
+	return long+int(u.foreignLong+0.5) < e.config.longSlots(u.Slots)
+}
+
+// nextFree estimates the time until a slot becomes free. The remaining time of a task is its learned time at first;
+// for one that runs longer than that it is its age, as for stragglers.
+func (e *engine) nextFree(now instant, u *upstream) instant {
+	hazard := 0.0
+	for i := range u.attempts {
+		a := &u.attempts[i]
+		hazard += 1 / float64(max(e.service(a.task.job.kind, u), now-a.at))
+	}
+	others := max(float64(u.Slots-len(u.attempts)), 0)
+	if others > 0 && len(e.kindList) > 0 {
+		hazard += others / float64(e.service(e.kindList[0], u))
+	}
+	if hazard == 0 {
+		return 0
+	}
+	return instant(1 / hazard)
+}
+
+// Weights of learned times of one upstream and kind against those of the kind everywhere and the upstream's speed.
+const (
+	confidence        = 10
+	successConfidence = 4
+)
+
+// service returns the expected service time of a kind at an upstream.
+func (e *engine) service(k *kind, u *upstream) instant {
+	s := u.statsOf(k)
+	generation := k.generation<<20 + u.generation + 1
+	if s.generation == generation {
+		return s.cached
+	}
+	speed := 0.0
+	if u.speed.n > 0 {
+		speed = u.speed.mu * u.speed.n / (u.speed.n + confidence)
+	}
+	mu, variance := math.Log(coldService.seconds()), coldVariance
+	if k.times.n > 0 {
+		mu, variance = k.times.mu, k.times.variance
+	}
+	mu += speed
+	w := s.times.n / (s.times.n + confidence)
+	mu += w * (s.times.mu - mu)
+	s.cached = spanOf(math.Exp(mu + variance/2))
+	s.generation = generation
+	return s.cached
+}
+
+// successOf returns the success rate of a kind at an upstream relative to that of the kind everywhere.
+func (e *engine) successOf(now instant, k *kind, u *upstream) float64 {
+	s := u.statsOf(k)
+	if s.success.failure == 0 && u.success.failure == 0 {
+		return 1
+	}
+	own := (s.results*s.success.rate(now) + successConfidence*u.success.rate(now)) / (s.results + successConfidence)
+	return max(min(own/k.success.rate(now), 1), minSuccess)
+}
+
+// worthwhile tells whether a task should take the best upstream with room. When that is much slower than the others
+// or likely to fail, waiting for another one is better as long as few tasks wait.
+func (e *engine) worthwhile(now instant, t *task, cost float64) bool {
+	p := t.job.kind.pool
+	usual := float64(t.job.kind.times.mean())
+	if cost <= 2*usual {
+		return true
+	}
+	rate := p.rate(e, now)
+	if rate <= 0 {
+		return true
+	}
+	waiting := p.backlog[classUrgent].total
+	if t.job.class == classNormal {
+		waiting += p.backlog[classNormal].total
+	}
+	alternative := float64(waiting)/rate*float64(time.Second) + usual
+	return cost <= alternative
+}
+
+// randomChooser implements Random.
+type randomChooser struct{}
+
+func (randomChooser) room(e *engine, u *upstream, now instant) (bool, bool) {
+	open := !u.barred(now) && u.restUntil <= now && u.own() < e.config.Connections
+	return open, open
+}
+
+func (randomChooser) choose(e *engine, now instant, t *task) (*upstream, outcome) {
+	p := t.job.kind.pool
+	if len(p.open) == 0 {
+		return nil, poolFull
+	}
+	start := e.random.IntN(len(p.open))
+	for i := range p.open {
+		if u := p.open[(start+i)%len(p.open)]; !t.avoids(u, now) {
+			return u, chosen
+		}
+	}
+	return nil, allAvoided
+}
+
+// leastChooser implements LeastConnections.
+type leastChooser struct{ randomChooser }
+
+func (leastChooser) choose(e *engine, now instant, t *task) (*upstream, outcome) {
+	p := t.job.kind.pool
+	if len(p.open) == 0 {
+		return nil, poolFull
+	}
+	var best *upstream
+	start := e.random.IntN(len(p.open))
+	for i := range p.open {
+		u := p.open[(start+i)%len(p.open)]
+		if (best == nil || u.own() < best.own()) && !t.avoids(u, now) {
+			best = u
+		}
+	}
+	if best == nil {
+		return nil, allAvoided
+	}
+	return best, chosen
+}
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,270 @@
+package dispatch
+
+import "time"
+
+// poolKey identifies the kinds that the same upstreams can serve. The name is set only while some upstream names its
+// kinds.
+type poolKey struct {
+	memoryMB     uint32
+	accelerators uint16
+	name         string
+}
+
+// pool holds the upstreams that can serve a group of kinds.
+type pool struct {
+	kindName string // any kind of the group
+	ups      []*upstream
+	// idle holds those that are expected to have a free slot, open those with a place in the agent's queue at least.
+	idle, open []*upstream
+	// had is set once there was an upstream; emptySince is the time at which the last one left.
+	had        bool
+	emptySince instant
+	full       uint64 // pass in which no upstream had room
+	backlog    [classes]backlog
+	drain      drain
+}
+
+func (e *engine) poolKeyOf(k *kind) poolKey {
+	c := e.config.Kinds[k.name]
+	key := poolKey{memoryMB: c.MemoryMB, accelerators: c.Accelerators}
+	if e.namedKinds {
+		key.name = k.name
+	}
+	return key
+}
+
+func (e *engine) poolOf(k *kind) *pool {
+	key := e.poolKeyOf(k)
+	if p := e.pools[key]; p != nil {
+		return p
+	}
+	p := &pool{kindName: k.name}
+	e.pools[key] = p
+	e.poolList = append(e.poolList, p)
+	for _, u := range e.active {
+		e.joinPool(u, p)
+	}
+	return p
+}
+
+// rebuildPools groups kinds and upstreams again after a change of the configuration.
+func (e *engine) rebuildPools(now instant) {
+	former := make([]*pool, len(e.kindList))
+	for i, k := range e.kindList {
+		former[i] = k.pool
+	}
+	for _, u := range e.active {
+		u.pools = nil
+	}
+	e.pools, e.poolList = make(map[poolKey]*pool), nil
+	for i, k := range e.kindList {
+		k.pool = e.poolOf(k)
+		k.pool.inherit(former[i], now)
+	}
+	for _, j := range e.jobs {
+		j.kind.pool.backlog[j.class].add(j.key, j.queued())
+	}
+	for _, p := range e.poolList {
+		if len(p.ups) == 0 {
+			e.armGrace(p, now)
+		}
+	}
+}
+
+// inherit keeps the history of the pool that the kind belonged to.
+func (p *pool) inherit(former *pool, now instant) {
+	if former == nil {
+		return
+	}
+	p.drain = former.drain
+	if len(p.ups) > 0 || p.had || !former.had {
+		return
+	}
+	p.had, p.emptySince = true, former.emptySince
+	if len(former.ups) > 0 {
+		p.emptySince = now
+	}
+}
+
+// queued counts the tasks of the job in the queue of its kind.
+func (j *job) queued() int {
+	n := 0
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.entry != 0 && !t.parked {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *engine) joinPools(u *upstream) {
+	for _, p := range e.poolList {
+		e.joinPool(u, p)
+	}
+}
+
+func (e *engine) joinPool(u *upstream, p *pool) {
+	if !e.config.eligible(u.Upstream, p.kindName) {
+		return
+	}
+	p.ups = append(p.ups, u)
+	p.had = true
+	u.pools = append(u.pools, membership{pool: p, idle: -1, open: -1})
+	u.idle, u.open = true, true
+	for i := range u.pools {
+		m := &u.pools[i]
+		m.setIdle(u, true)
+		m.setOpen(u, true)
+	}
+}
+
+func (e *engine) leavePools(u *upstream, now instant) {
+	for i := range u.pools {
+		m := &u.pools[i]
+		m.setIdle(u, false)
+		m.setOpen(u, false)
+		m.pool.remove(u)
+		if len(m.pool.ups) == 0 {
+			m.pool.emptySince = now
+			e.armGrace(m.pool, now)
+		}
+	}
+	u.pools = nil
+}
+
+// armGrace bounds the wait of the jobs of a pool without upstreams.
+func (e *engine) armGrace(p *pool, now instant) {
+	for _, j := range e.jobs {
+		if j.kind.pool == p && j.waiting > 0 {
+			e.timers.push(now+upstreamGrace, j)
+		}
+	}
+}
+
+func (p *pool) remove(u *upstream) {
+	for i, other := range p.ups {
+		if other == u {
+			last := len(p.ups) - 1
+			p.ups[i] = p.ups[last]
+			p.ups = p.ups[:last]
+			return
+		}
+	}
+}
+
+func (m *membership) setIdle(u *upstream, want bool) {
+	if want == (m.idle >= 0) {
+		return
+	}
+	set := &m.pool.idle
+	if want {
+		m.idle = len(*set)
+		*set = append(*set, u)
+		return
+	}
+	last := len(*set) - 1
+	moved := (*set)[last]
+	(*set)[m.idle] = moved
+	moved.member(m.pool).idle = m.idle
+	*set = (*set)[:last]
+	m.idle = -1
+}
+
+func (m *membership) setOpen(u *upstream, want bool) {
+	if want == (m.open >= 0) {
+		return
+	}
+	set := &m.pool.open
+	if want {
+		m.open = len(*set)
+		*set = append(*set, u)
+		return
+	}
+	last := len(*set) - 1
+	moved := (*set)[last]
+	(*set)[m.open] = moved
+	moved.member(m.pool).open = m.open
+	*set = (*set)[:last]
+	m.open = -1
+}
+
+func (u *upstream) member(p *pool) *membership {
+	for i := range u.pools {
+		if u.pools[i].pool == p {
+			return &u.pools[i]
+		}
+	}
+	return nil
+}
+
+// place puts an upstream into the sets that its load allows. It is called after each change of its load.
+func (e *engine) place(u *upstream, now instant) {
+	idle, open := e.chooser.room(e, u, now)
+	if idle == u.idle && open == u.open {
+		return
+	}
+	u.idle, u.open = idle, open
+	for i := range u.pools {
+		u.pools[i].setIdle(u, idle)
+		u.pools[i].setOpen(u, open)
+	}
+}
+
+// refreshed is the number of upstreams whose sets each call of Next checks, because estimates change with time.
+const refreshed = 4
+
+func (e *engine) refresh(now instant) {
+	n := min(refreshed, len(e.active))
+	if now >= e.recheck {
+		n = len(e.active)
+	}
+	for range n {
+		if e.cursor >= len(e.active) {
+			e.cursor = 0
+		}
+		e.place(e.active[e.cursor], now)
+		e.cursor++
+	}
+}
+
+// drain measures the rate at which tasks leave a queue while tasks wait, that is, the capacity that this entry gets.
+type drain struct {
+	since   instant // start of the current measurement, 0 when nothing waits
+	started int
+	rate    float64 // tasks per second
+	at      instant // time of the last measurement
+	// model is the rate computed from slots and learned times at modelAt, used when nothing was measured.
+	model   float64
+	modelAt instant
+}
+
+// Parameters of drain.
+const (
+	drainWindow = instant(100 * time.Millisecond)
+	// drainMemory is the time for which a measured rate is used.
+	drainMemory = instant(3 * time.Second)
+	drainWeight = 0.3
+)
+
+// observe is called at the end of each Next; waiting tells whether tasks still wait.
+func (d *drain) observe(now instant, waiting bool) {
+	if !waiting {
+		d.since, d.started = 0, 0
+		return
+	}
+	if d.since == 0 {
+		d.since, d.started = now, 0
+		return
+	}
+	span := now - d.since
+	if span < drainWindow {
+		return
+	}
+	sample := float64(d.started) / span.seconds()
+	if d.at == 0 || now-d.at > drainMemory {
+		d.rate = sample
+	} else {
+		d.rate += drainWeight * (sample - d.rate)
+	}
+	d.at, d.since, d.started = now, now, 0
+}
