--- /dev/null
+++ b/internal/agent/documents.go
@@ -0,0 +1,101 @@
+package agent
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"maps"
+	"slices"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/agent/slots"
+	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// documents holds the revision of the document of each service that the agent serves.
+type documents map[string]uint64
+
+func newDocuments(services []string) documents {
+	d := make(documents, len(services))
+	for _, service := range services {
+		d[service] = 0
+	}
+	return d
+}
+
+func (d documents) revision(service string) uint64 { return d[service] }
+
+func (d documents) revisions() map[string]uint64 { return maps.Clone(d) }
+
+// behind reports whether the peer has a newer document of a service that the agent serves.
+func (d documents) behind(peer map[string]uint64) bool {
+	for service, revision := range d {
+		if peer[service] > revision {
+			return true
+		}
+	}
+	return false
+}
+
+// digest is a hash of the revisions, in the order of the services.
+func (d documents) digest() uint64 {
+	h := fnv.New64a()
+	for _, service := range slices.Sorted(maps.Keys(d)) {
+		_, _ = h.Write([]byte(service))
+		_, _ = h.Write(binary.BigEndian.AppendUint64([]byte{0}, d[service]))
+	}
+	return h.Sum64()
+}
+
+// documentReceived is a document that an entry pushed.
+type documentReceived struct{ push *wire.DocumentPush }
+
+func (e documentReceived) apply(c *control) {
+	push := e.push
+	have, served := c.documents[push.Service]
+	if !served || push.Revision <= have {
+		return
+	}
+	entry := c.options.Log.WithField("service", push.Service).WithField("revision", push.Revision)
+	limits, err := parseLimits(push)
+	if err != nil {
+		entry.WithError(err).Error("agent: document cannot be read, keeping the former one")
+		return
+	}
+	c.documents[push.Service] = push.Revision
+	c.agent.versions.documents.Store(c.documents.digest())
+	c.slots.SetLimits(push.Service, limits)
+	entry.Info("agent: applied document")
+	c.release(func(a *attempt) bool {
+		return a.start.Service == push.Service && a.start.DocumentRevision <= push.Revision
+	})
+}
+
+// parseLimits reads the fields of a document that concern an agent. A call holds one connection, so the lower one of
+// slots and connections counts.
+func parseLimits(push *wire.DocumentPush) (slots.Limits, error) {
+	var body struct {
+		Slots       int `yaml:"slots"`
+		Connections int `yaml:"connections"`
+		ShortSlots  int `yaml:"short_slots"`
+	}
+	if push.Deleted {
+		return slots.Limits{}, nil
+	}
+	if err := yaml.Unmarshal(push.Body, &body); err != nil {
+		return slots.Limits{}, err
+	}
+	limits := slots.Limits{Slots: body.Slots, ShortSlots: body.ShortSlots}
+	if body.Connections > 0 && (limits.Slots == 0 || body.Connections < limits.Slots) {
+		limits.Slots = body.Connections
+	}
+	return limits, nil
+}
+
+// pullDocuments asks for the documents that are newer than those of the agent.
+func (c *control) pullDocuments(l *link.Link) {
+	if l != nil {
+		_ = l.Send(&wire.DocumentPull{Revisions: c.documents.revisions()})
+	}
+}
