Add a stand-in for the platform's key-value service

It speaks the published protocol for keys, blocking queries and sessions in memory, in process or as `stand-in platform`.

--- /dev/null
+++ b/internal/command/standin_platform.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/settings"
+	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+)
+
+// Bounds of the settings of the stand-in store.
+const (
+	minStandInValue = 1 << 10
+	maxStandInValue = 16 << 20
+	minStandInTTL   = 100 * time.Millisecond
+	maxStandInTTL   = time.Hour
+)
+
+func init() { standInMembers = append(standInMembers, newStandInPlatform) }
+
+type standInPlatform struct {
+	listen  string
+	options standin.Options
+	log     logSettings
+}
+
+func newStandInPlatform() *subcommand {
+	c := newSubcommand("platform", "stand-in for the platform's key-value service, in memory")
+	s := &standInPlatform{}
+	s.register(c.settings)
+	c.run = s.run
+	return c
+}
+
+func (s *standInPlatform) register(set *settings.Set) {
+	set.String(&s.listen, "listen", "127.0.0.1:8500", "address and port of the HTTP interface", true)
+	set.String(&s.options.FaultToken, "fault-token", "", "bearer token of the fault endpoint; empty for none", false)
+	set.Int(&s.options.MaxValue, "max-value-bytes", standin.DefaultMaxValue, minStandInValue, maxStandInValue,
+		"largest value in bytes")
+	set.Duration(&s.options.MinTTL, "min-session-ttl", standin.DefaultMinTTL, minStandInTTL, maxStandInTTL,
+		"shortest TTL of a session")
+	s.log.register(set)
+}
+
+// run serves until the process is told to stop.
+func (s *standInPlatform) run(ctx context.Context, std streams) int {
+	logger := s.log.logger(std.err)
+	server, err := standin.Start(s.listen, s.options)
+	if err != nil {
+		fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
+		return ExitFailure
+	}
+	defer server.Close()
+	logger.WithField("url", server.URL()).Info("stand-in: store is listening")
+	<-ctx.Done()
+	logger.Info("stand-in: store stops")
+	return ExitOK
+}
