--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -2,5 +2,11 @@
 
 // subcommands returns every subcommand of the program.
 func subcommands() ([]*subcommand, []*group) {
-	return []*subcommand{agentCommand()}, []*group{}
+	commands := []*subcommand{
+		agentCommand(),
+	}
+	groups := []*group{
+		newStandInGroup(),
+	}
+	return commands, groups
 }
