Add start records of the agent

The agent must decide for each Start whether it may run, and must keep that decision: a refusal that is forgotten would let a delayed Start run after the home was told that it never will.

- Refused attempts are kept one by one up to a bound.
Past it the oldest are replaced by a floor per home incarnation, since attempts are numbered upwards.
Dropping them silently was ruled out.
- A record outlives the retention window by the longest deadline of a job, because a home counts the window from the completion of the whole job.
- A retry that does not start restores the record of the former attempt.
- Collect answers only under the list of the asker; an agent with a newer list returns that list.
An answer under the newer list could omit keys that the asker still believes to own.
- The agent does not know the home region of a service without its document, so Collect returns records for which the asker is home with no region or with its own.

Start and KeyRecord carry the digest of the job, so that the reuse of a key with another body is still found after recovery.

--- /dev/null
+++ b/internal/agent/records/collect.go
@@ -0,0 +1,103 @@
+package records
+
+import (
+	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// maxPart is the size in bytes past which a part of Records is closed. One more record of at most
+// wire.MaxAnswerBody and its headers still fits the frame.
+const maxPart = 2 << 20
+
+// maxPartRecords bounds the number of task records in one part.
+const maxPartRecords = 4096
+
+// recordOverhead is the size in bytes that is counted for a record besides its answer.
+const recordOverhead = 64
+
+// Collect adopts the asker's list, which fences the expelled entry, and returns the records of that entry that now
+// belong to the asker, in parts; Last is set in the final one. The records of one key can be spread over parts.
+//
+// If the agent has a newer list than the asker, it returns that list in place of records: what belongs to the asker
+// under the newer list may be less than the asker expects. The asker adopts the list and asks again. It returns
+// neither when the asker is no active member.
+func (t *Table) Collect(now time.Time, c *wire.Collect, asker string, askerIncarnation uint64) ([]*wire.Records, *wire.EntryList) {
+	t.Expire(now)
+	t.Adopt(c.List)
+	if placement.Version(t.list) > placement.Version(c.List) {
+		return nil, t.list
+	}
+	member, ok := placement.Find(t.list, asker, askerIncarnation)
+	if !ok || member.State != wire.MemberActive {
+		return nil, nil
+	}
+	w := partWriter{template: wire.Records{
+		Expelled:            c.Expelled,
+		ExpelledIncarnation: c.ExpelledIncarnation,
+		ListVersion:         t.list.Version,
+	}}
+	for r := t.byHome[c.ExpelledIncarnation]; r != nil; r = r.next {
+		if placement.MayBeHome(t.list, member, r.id.key) {
+			w.add(r)
+		}
+	}
+	return w.finish(), nil
+}
+
+type partWriter struct {
+	template wire.Records
+	parts    []*wire.Records
+	// index maps a key to its place in the open part.
+	index map[wire.KeyHash]int
+	bytes int
+	count int
+}
+
+func (w *partWriter) add(r *record) {
+	if len(w.parts) == 0 || w.bytes >= maxPart || w.count >= maxPartRecords {
+		w.open()
+	}
+	part := w.parts[len(w.parts)-1]
+	i, ok := w.index[r.id.key]
+	if !ok {
+		i = len(part.Keys)
+		part.Keys = append(part.Keys, wire.KeyRecord{Key: r.id.key, Tasks: r.tasks, Digest: r.digest})
+		w.index[r.id.key] = i
+	}
+	part.Keys[i].Done = append(part.Keys[i].Done, r.taskRecord())
+	w.bytes += r.bytes + recordOverhead
+	w.count++
+}
+
+func (w *partWriter) open() {
+	part := w.template
+	w.parts = append(w.parts, &part)
+	w.index = make(map[wire.KeyHash]int)
+	w.bytes = 0
+	w.count = 0
+}
+
+func (w *partWriter) finish() []*wire.Records {
+	if len(w.parts) == 0 {
+		w.open()
+	}
+	w.parts[len(w.parts)-1].Last = true
+	return w.parts
+}
+
+func (r *record) taskRecord() wire.TaskRecord {
+	record := wire.TaskRecord{Task: r.id.task, State: r.state}
+	if r.state != wire.AttemptDone {
+		return record
+	}
+	if r.result == nil {
+		record.Dropped = true
+		return record
+	}
+	record.Status = r.result.Status
+	record.Headers = r.result.Headers
+	record.Body = r.result.Body
+	return record
+}
--- /dev/null
+++ b/internal/agent/records/fifo.go
@@ -0,0 +1,27 @@
+package records
+
+// fifo is a queue whose memory is reused once most of it has been consumed.
+type fifo[T any] struct {
+	items []T
+	head  int
+}
+
+func (q *fifo[T]) len() int { return len(q.items) - q.head }
+
+func (q *fifo[T]) push(item T) { q.items = append(q.items, item) }
+
+func (q *fifo[T]) front() T { return q.items[q.head] }
+
+func (q *fifo[T]) pop() T {
+	var zero T
+	item := q.items[q.head]
+	q.items[q.head] = zero
+	q.head++
+	if q.head > 64 && q.head*2 > len(q.items) {
+		n := copy(q.items, q.items[q.head:])
+		clear(q.items[n:])
+		q.items = q.items[:n]
+		q.head = 0
+	}
+	return item
+}
--- /dev/null
+++ b/internal/agent/records/records.go
@@ -0,0 +1,166 @@
+// Package records keeps the start records of an agent: which attempts it admitted, refused or finished. It decides
+// whether a Start may run, so that no task starts twice and no expelled entry starts anything.
+//
+// A Table is a pure state machine for one goroutine. Times are passed in; messages are returned, not sent.
+package records
+
+import (
+	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Retention slack. A home counts the retention window from the completion of the job. The job can complete up to
+// its longest deadline after one of its tasks, so a record must outlive the window by that time and the clock skew.
+const retentionSlack = wire.MaxDeadline + 5*time.Second
+
+// Defaults of Config.
+const (
+	// DefaultRetention is the retention window of the design.
+	DefaultRetention = 10 * time.Minute
+	// DefaultMaxRecords holds the window at 150 starts/s, three times the mean of an agent at the target load.
+	DefaultMaxRecords = 100_000
+	// DefaultMaxRefusals bounds the refused attempts that are kept one by one.
+	DefaultMaxRefusals = 20_000
+	// DefaultMaxResultBytes bounds the results kept for duplicates and for recovery, in bytes.
+	DefaultMaxResultBytes = 64 << 20
+)
+
+// Config holds the bounds of a Table. Zero fields get the defaults.
+type Config struct {
+	// Retention is the retention window; the same for all entries and agents.
+	Retention time.Duration
+	// MaxRecords bounds the started attempts; past it a Start is refused with RefusedFull.
+	MaxRecords int
+	// MaxRefusals bounds the refused attempts; past it the oldest are replaced by a floor per home.
+	MaxRefusals int
+	// MaxResultBytes bounds the kept results in bytes; past it the oldest results are dropped.
+	MaxResultBytes int
+}
+
+func (c Config) withDefaults() Config {
+	if c.Retention <= 0 {
+		c.Retention = DefaultRetention
+	}
+	if c.MaxRecords <= 0 {
+		c.MaxRecords = DefaultMaxRecords
+	}
+	if c.MaxRefusals <= 0 {
+		c.MaxRefusals = DefaultMaxRefusals
+	}
+	if c.MaxResultBytes <= 0 {
+		c.MaxResultBytes = DefaultMaxResultBytes
+	}
+	return c
+}
+
+// Ref identifies an attempt: its number is unique within the incarnation of its home.
+type Ref struct {
+	HomeIncarnation uint64
+	Attempt         uint64
+}
+
+// RefOf returns the reference of the attempt of a Start.
+func RefOf(s *wire.Start) Ref {
+	return Ref{HomeIncarnation: s.HomeIncarnation, Attempt: s.Attempt}
+}
+
+type taskID struct {
+	key  wire.KeyHash
+	task uint16
+}
+
+type record struct {
+	ref    Ref
+	id     taskID
+	tasks  uint16
+	keyed  bool
+	state  wire.AttemptState
+	digest [16]byte
+	// result is nil until the attempt is over, and after its answer was dropped.
+	result  *wire.Result
+	bytes   int
+	expires time.Time
+	// prev and next link the keyed records of one home.
+	prev, next *record
+	// superseded is set when a retry of the same task replaced the record; former points back from that retry while
+	// it is open.
+	superseded bool
+	former     *record
+}
+
+func (r *record) over() bool {
+	return r.state == wire.AttemptDone || r.state == wire.AttemptUnknown
+}
+
+// refusal is a recorded refusal. RefusedNone stands for an attempt that was never seen.
+type refusal struct {
+	reason wire.RefusalReason
+	// of is the record that made the attempt a duplicate.
+	of *record
+}
+
+type refusalExpiry struct {
+	ref     Ref
+	expires time.Time
+}
+
+// Table holds the start records of one agent.
+type Table struct {
+	cfg        Config
+	list       *wire.EntryList
+	byTask     map[taskID]*record
+	byAttempt  map[Ref]*record
+	byHome     map[uint64]*record
+	finished   fifo[*record]
+	withResult fifo[*record]
+	bytes      int
+	refused    map[Ref]refusal
+	refusals   fifo[refusalExpiry]
+	floors     map[uint64]floor
+}
+
+// floor replaces refusals that were forgotten for lack of space.
+type floor struct {
+	attempt uint64
+	expires time.Time
+}
+
+// New returns an empty table without a list of entries.
+func New(cfg Config) *Table {
+	return &Table{
+		cfg:       cfg.withDefaults(),
+		byTask:    make(map[taskID]*record),
+		byAttempt: make(map[Ref]*record),
+		byHome:    make(map[uint64]*record),
+		refused:   make(map[Ref]refusal),
+		floors:    make(map[uint64]floor),
+	}
+}
+
+// Adopt takes over a list with a higher version and reports whether it did. From then on starts of entries that are
+// no member of it are refused.
+func (t *Table) Adopt(list *wire.EntryList) bool {
+	var adopted bool
+	t.list, adopted = placement.Newer(t.list, list)
+	return adopted
+}
+
+// List returns the highest list that was adopted; nil before the first. It must not be changed.
+func (t *Table) List() *wire.EntryList { return t.list }
+
+// Stats are the sizes of a Table.
+type Stats struct {
+	Records, Open, Refusals, ResultBytes int
+}
+
+// Stats returns the current sizes.
+func (t *Table) Stats() Stats {
+	return Stats{
+		Records:     len(t.byAttempt),
+		Open:        len(t.byAttempt) - t.finished.len(),
+		Refusals:    len(t.refused),
+		ResultBytes: t.bytes,
+	}
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -145,6 +145,9 @@
 	Retry bool `cbor:"18,keyasint,omitempty"`
 	// DocumentRevision is the revision that the home used; an agent with a lower one pulls before it runs the task.
 	DocumentRevision uint64 `cbor:"19,keyasint,omitempty"`
+	// Digest is that of the job, so that recovery from start records still detects the reuse of a key. Zero is not
+	// compared.
+	Digest [16]byte `cbor:"20,keyasint"`
 }
 
 // Accepted acknowledges attempts that have no result yet.
@@ -254,6 +257,8 @@
 	Key   KeyHash      `cbor:"1,keyasint"`
 	Tasks uint16       `cbor:"2,keyasint"`
 	Done  []TaskRecord `cbor:"3,keyasint"`
+	// Digest is that of the Start.
+	Digest [16]byte `cbor:"4,keyasint"`
 }
 
 // Records answers Collect, in one or more parts; Last is set in the final part.
