--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,268 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// errNotListed is the cause for closing the link of an entry that left the list.
+var errNotListed = eris.New("peer left the list of entries")
+
+// self returns this entry as a member of the list.
+func (c *control) self() wire.Member {
+	return wire.Member{
+		ID: c.options.ID, Incarnation: c.incarnation, Address: c.entry.options.AdvertiseAddress,
+		DataCentre: c.options.DataCentre, Region: c.options.Region, State: wire.MemberActive,
+	}
+}
+
+// membership returns the state of this entry in the list, and false when it is no member.
+func (c *control) membership() (wire.MemberState, bool) {
+	m, ok := placement.Find(&c.list, c.options.ID, c.incarnation)
+	return m.State, ok
+}
+
+// mayStart tells whether this entry may start tasks of a job. A job with a caller's key needs membership, because another
+// entry can take the key over once this one was removed.
+func (c *control) mayStart(j *job) bool {
+	if j.issued {
+		return true
+	}
+	_, ok := c.membership()
+	return ok
+}
+
+func (c *control) isMember(id string) bool {
+	for _, m := range c.list.Members {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// adoptList takes a list into use if it is newer than the present one.
+func (c *control) adoptList(list *wire.EntryList) {
+	if list == nil || list.Version <= c.list.Version {
+		return
+	}
+	_, wasMember := c.membership()
+	c.list = *list
+	c.entry.versions.list.Store(list.Version)
+	c.log.WithField("version", list.Version).WithField("members", len(list.Members)).Info("entry: list of entries changed")
+	if _, member := c.membership(); wasMember && !member && !c.stopping {
+		c.expelled()
+	}
+	c.updateDiallers()
+	c.recoverAfter(list)
+	c.rerouteForwards()
+	for _, p := range c.peers {
+		if p.link != nil {
+			c.sendList(p.link)
+		}
+	}
+}
+
+// expelled is called when another entry removed this one. Jobs with a caller's key fail as they need to start another
+// task; the process ends its run and joins again under a new incarnation.
+func (c *control) expelled() {
+	c.log.Error("entry: removed from the list of entries by another entry; joining again")
+	select {
+	case c.entry.expulsions <- struct{}{}:
+	default:
+	}
+}
+
+// updateDiallers starts a dialler for each member with a higher id and stops those of entries that left.
+func (c *control) updateDiallers() {
+	for _, m := range c.list.Members {
+		if m.ID <= c.options.ID {
+			continue
+		}
+		p := c.peerOf(m.ID)
+		if p.stopDialler != nil && p.address == m.Address {
+			continue
+		}
+		if p.stopDialler != nil {
+			p.stopDialler()
+		}
+		p.address = m.Address
+		p.stopDialler = c.entry.startDialler(m.Address)
+	}
+	for id, p := range c.peers {
+		if !c.isMember(id) {
+			c.forgetPeer(p)
+		}
+	}
+}
+
+// forgetPeer stops dialling an entry that left the list. Its link stays until it closes by itself, since the entry may
+// still have answers to send.
+func (c *control) forgetPeer(p *peer) {
+	if p.stopDialler != nil {
+		p.stopDialler()
+		p.stopDialler = nil
+	}
+	if p.link == nil {
+		delete(c.peers, p.id)
+	}
+}
+
+// storeSeen handles a snapshot of the store.
+func (c *control) storeSeen(s *snapshot) {
+	c.documentsSeen(s.documents)
+	if s.list != nil && s.list.Version > c.list.Version {
+		c.adoptList(s.list)
+	}
+	if s.list == nil || s.list.Version < c.list.Version {
+		c.proposeChange(func(current *wire.EntryList) *wire.EntryList { return restoredList(current) })
+	}
+	c.joinList()
+	c.watchLeases(s)
+	c.pruneList()
+}
+
+// restoredList writes the known list back to a store that was restored from older data.
+func restoredList(current *wire.EntryList) *wire.EntryList {
+	if current.Version == 0 {
+		return nil
+	}
+	next := *current
+	next.Version++
+	return &next
+}
+
+// joinList adds this entry to the list unless it is there, or left it.
+func (c *control) joinList() {
+	if _, member := c.membership(); member || c.stopping || c.wasRemoved() {
+		return
+	}
+	self := c.self()
+	c.proposeChange(func(current *wire.EntryList) *wire.EntryList {
+		next, err := placement.Add(current, self, c.entry.options.Clock.Now())
+		if err != nil {
+			return nil
+		}
+		return next
+	})
+}
+
+// wasRemoved tells whether this incarnation was in the list before.
+func (c *control) wasRemoved() bool {
+	for _, d := range c.list.Departed {
+		if d.Incarnation == c.incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// watchLeases removes members whose lease and link have both been gone for the expulsion delay. It runs for each
+// snapshot of the store only, so an outage of the store removes nobody.
+func (c *control) watchLeases(s *snapshot) {
+	state, member := c.membership()
+	for _, m := range c.list.Members {
+		if m.ID == c.options.ID || s.leases[m.ID] == m.Incarnation {
+			delete(c.leaseGoneSince, m.Incarnation)
+			continue
+		}
+		since, known := c.leaseGoneSince[m.Incarnation]
+		if !known {
+			c.leaseGoneSince[m.Incarnation] = c.now
+			continue
+		}
+		if member && state == wire.MemberActive && c.now.Sub(since) >= c.options.ExpulsionDelay && c.linkGone(m) {
+			c.expel(m)
+		}
+	}
+}
+
+// linkGone tells whether there was no link to this run of the member for the expulsion delay.
+func (c *control) linkGone(m wire.Member) bool {
+	p := c.peers[m.ID]
+	if p == nil {
+		return c.now.Sub(c.startedAt) >= c.options.ExpulsionDelay
+	}
+	if p.link != nil && p.incarnation == m.Incarnation {
+		return false
+	}
+	return p.incarnation != m.Incarnation && p.incarnation != 0 || c.now.Sub(p.downSince) >= c.options.ExpulsionDelay
+}
+
+func (c *control) expel(m wire.Member) {
+	c.log.WithField("entry", m.ID).Warn("entry: removing an entry whose lease and link are gone")
+	c.proposeChange(func(current *wire.EntryList) *wire.EntryList {
+		next, err := placement.Expel(current, m.ID, m.Incarnation, c.entry.options.Clock.Now())
+		if err != nil {
+			return nil
+		}
+		return next
+	})
+}
+
+// pruneList drops departed entries after the retention window. Only the first active member does so, to save calls.
+func (c *control) pruneList() {
+	if first := firstActive(&c.list); first != c.options.ID || len(c.list.Departed) == 0 {
+		return
+	}
+	if _, err := placement.Prune(&c.list, c.now, c.options.Retention); err != nil {
+		return
+	}
+	c.proposeChange(func(current *wire.EntryList) *wire.EntryList {
+		next, err := placement.Prune(current, c.entry.options.Clock.Now(), c.options.Retention)
+		if err != nil {
+			return nil
+		}
+		return next
+	})
+}
+
+func firstActive(list *wire.EntryList) string {
+	first := ""
+	for _, m := range list.Members {
+		if m.State == wire.MemberActive && (first == "" || m.ID < first) {
+			first = m.ID
+		}
+	}
+	return first
+}
+
+// proposeChange writes a change of the list in the background. One change is under way at a time; the next snapshot
+// proposes again what is still needed.
+func (c *control) proposeChange(change listChange) {
+	if c.changing {
+		return
+	}
+	c.changing = true
+	known := c.list
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+		defer cancel()
+		if err := c.entry.changeList(ctx, &known, change); err != nil {
+			c.log.WithField("cause", eris.ToString(err, false)).Warn("store: cannot change the list of entries")
+		}
+		c.entry.post(func(c *control) { c.changing = false })
+	}()
+}
+
+// changeTimeout bounds one change of the list with its repetitions.
+const changeTimeout = 10 * time.Second
+
+// startDialler keeps a link to the address until the returned function is called.
+func (e *Entry) startDialler(address string) context.CancelFunc {
+	ctx, cancel := context.WithCancel(e.background)
+	e.diallers.Add(1)
+	go func() {
+		defer e.diallers.Done()
+		e.dialPeer(ctx, address)
+	}()
+	return cancel
+}
+
+var _ = link.Path
