Add operator endpoints, a stand-in upstream and their commands

Metrics live in a set for each process instance, because expvar has one name space for the whole binary and panics on a second instance.

Its counters and faults have an address of their own, which stays reachable while connections for tasks are refused.

A second SIGTERM now ends a process at once: the handler is removed after the first one.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,11 +15,18 @@
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/admin"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 )
 
-// ErrStopTimeout is returned by Run when the graceful shutdown did not end in time.
-var ErrStopTimeout = eris.New("graceful shutdown did not end within the stop timeout")
+// Errors of an agent.
+var (
+	// ErrStopTimeout is returned by Run when the graceful shutdown did not end in time.
+	ErrStopTimeout = eris.New("graceful shutdown did not end within the stop timeout")
+	ErrAdmin       = eris.New("operator endpoints cannot start")
+	errStopping    = eris.New("agent is stopping")
+	errNoLink      = eris.New("agent has no link to an entry")
+)
 
 // eventBuffer decouples the links from the control goroutine for short bursts.
 const eventBuffer = 256
@@ -41,9 +48,15 @@
 	done         chan struct{} // closed when the control goroutine has ended
 	control      *control
 	diallers     *suture.Supervisor
+	vars         *admin.Vars
+	admin        *admin.Server // nil when the operator endpoints are off
+	// linked is the number of open links and stopping is set when the graceful shutdown began; /readyz reads them.
+	linked   atomic.Int64
+	stopping atomic.Bool
 }
 
-// New returns an agent. It returns ErrOptions when an option is not allowed.
+// New returns an agent. It returns ErrOptions when an option is not allowed, and ErrAdmin when the operator endpoints
+// cannot listen.
 func New(options Options) (*Agent, error) {
 	options, err := options.withDefaults()
 	if err != nil {
@@ -58,12 +71,57 @@
 		events:      make(chan event, eventBuffer),
 		done:        make(chan struct{}),
 	}
-	a.metrics = newMetrics(a.stats)
+	a.vars = admin.NewVars()
+	a.metrics = newMetrics(a.vars, a.stats)
+	if err := a.listenAdmin(); err != nil {
+		return nil, err
+	}
 	a.diallers = suture.New("diallers", a.supervision())
 	a.control = newControl(a)
 	return a, nil
 }
 
+func (a *Agent) listenAdmin() error {
+	o := a.options
+	if o.AdminAddress == "" {
+		return nil
+	}
+	server, err := admin.New(admin.Options{
+		Address: o.AdminAddress, Token: o.AdminToken, Role: "agent", Vars: a.vars, Log: o.Log, Ready: a.ready,
+		Dump: func(ctx context.Context) (any, error) { return a.Dump(ctx) },
+	})
+	if err != nil {
+		return eris.Wrapf(ErrAdmin, "%v", err)
+	}
+	a.admin = server
+	return nil
+}
+
+// ready tells why the agent takes no work, or nil.
+func (a *Agent) ready() error {
+	switch {
+	case a.stopping.Load():
+		return errStopping
+	case a.linked.Load() == 0:
+		return errNoLink
+	case a.upstreamDown.Load():
+		return ErrNotReached
+	default:
+		return nil
+	}
+}
+
+// AdminAddress returns the host:port of the operator endpoints, or an empty text when they are off.
+func (a *Agent) AdminAddress() string {
+	if a.admin == nil {
+		return ""
+	}
+	return a.admin.Address()
+}
+
+// Vars returns the metrics of the agent.
+func (a *Agent) Vars() *admin.Vars { return a.vars }
+
 // Incarnation differs between two runs of an agent.
 func (a *Agent) Incarnation() uint64 { return a.incarnation }
 
@@ -77,9 +135,13 @@
 	root := suture.New("agent", spec)
 	root.Add(a.control)
 	root.Add(a.diallers)
+	if a.admin != nil {
+		root.Add(a.admin)
+	}
 	ended := root.ServeBackground(serving)
 	a.options.Log.WithField("id", a.options.ID).Info("agent: started")
 	<-ctx.Done()
+	a.stopping.Store(true)
 	err := a.leave()
 	stop()
 	<-ended
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -91,6 +91,7 @@
 	if c.leaving != nil {
 		c.leaving.check(c, now)
 	}
+	c.agent.linked.Store(int64(len(c.links)))
 	c.agent.metrics.observe(c)
 }
 
--- /dev/null
+++ b/internal/agent/dump.go
@@ -0,0 +1,92 @@
+package agent
+
+import (
+	"context"
+	"encoding/hex"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/admin"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Dump is the state of an agent at one moment.
+type Dump struct {
+	ID          string            `json:"id"`
+	Incarnation uint64            `json:"incarnation"`
+	StartedAt   time.Time         `json:"started_at"`
+	Leaving     bool              `json:"leaving"`
+	UpstreamUp  bool              `json:"upstream_up"`
+	List        *wire.EntryList   `json:"list"`
+	Documents   map[string]uint64 `json:"documents"`
+	Homes       []HomeDump        `json:"homes"`
+	Attempts    []AttemptDump     `json:"attempts"`
+	Records     int               `json:"records"`
+}
+
+// HomeDump is one incarnation of an entry.
+type HomeDump struct {
+	ID          string    `json:"id"`
+	Incarnation uint64    `json:"incarnation"`
+	Linked      bool      `json:"linked"`
+	LastResult  time.Time `json:"last_result,omitzero"`
+}
+
+// AttemptDump is one attempt without a result. Began is zero while it waits.
+type AttemptDump struct {
+	Home     string    `json:"home"`
+	Attempt  uint64    `json:"attempt"`
+	Key      string    `json:"key"`
+	Task     uint16    `json:"task"`
+	Service  string    `json:"service"`
+	Kind     string    `json:"kind"`
+	Urgent   bool      `json:"urgent"`
+	Long     bool      `json:"long"`
+	Received time.Time `json:"received"`
+	Deadline time.Time `json:"deadline"`
+	Began    time.Time `json:"began,omitzero"`
+}
+
+// Dump returns the state of the agent. It returns admin.ErrDump when the control goroutine does not answer until ctx
+// ends.
+func (a *Agent) Dump(ctx context.Context) (*Dump, error) {
+	reply := make(chan *Dump, 1)
+	select {
+	case a.events <- dumpRequested{reply}:
+	case <-a.done:
+		return nil, eris.Wrap(admin.ErrDump, "agent has ended")
+	case <-ctx.Done():
+		return nil, eris.Wrap(admin.ErrDump, "agent is busy")
+	}
+	select {
+	case dump := <-reply:
+		return dump, nil
+	case <-a.done:
+		return nil, eris.Wrap(admin.ErrDump, "agent has ended")
+	case <-ctx.Done():
+		return nil, eris.Wrap(admin.ErrDump, "agent is busy")
+	}
+}
+
+type dumpRequested struct{ reply chan<- *Dump }
+
+func (e dumpRequested) apply(c *control) {
+	d := &Dump{
+		ID: c.options.ID, Incarnation: c.agent.incarnation, StartedAt: c.agent.startedAt,
+		Leaving: c.leaving != nil, UpstreamUp: !c.agent.upstreamDown.Load(),
+		List: c.list, Documents: c.documents.revisions(), Records: c.records.Len(),
+	}
+	for h, state := range c.homes {
+		d.Homes = append(d.Homes, HomeDump{h.id, h.incarnation, state.link != nil, state.lastResult})
+	}
+	for id, a := range c.attempts {
+		s := a.start
+		d.Attempts = append(d.Attempts, AttemptDump{
+			Home: id.home.id, Attempt: id.number, Key: hex.EncodeToString(s.Key[:]), Task: s.Task,
+			Service: s.Service, Kind: s.Kind, Urgent: s.Urgent, Long: s.Long,
+			Received: a.received, Deadline: a.deadline, Began: a.began,
+		})
+	}
+	e.reply <- d
+}
--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -36,7 +36,7 @@
 	set.Duration(&o.Retention, "retention", agent.DefaultRetention, agent.MinRetention, agent.MaxRetention,
 		"how long start records are kept; the same for all processes")
 	set.Int(&s.resultMB, "result-mb", agent.DefaultResultBytes>>20, 1, 1<<16, "memory in MiB for recorded results")
-	set.Duration(&o.StopTimeout, "stop-timeout", agent.DefaultStopTimeout, minStopTimeout, agent.MaxStopTimeout,
+	set.Duration(&o.StopTimeout, "stop-timeout", defaultStopTimeout, minStopTimeout, maxStopTimeout,
 		"longest wait of a graceful shutdown")
 	set.String(&o.AdminAddress, "admin-address", "", "host:port of the operator endpoints; empty turns them off", false)
 	set.String(&o.AdminToken, "admin-token", "", "bearer token of the operator endpoints", false)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -77,6 +77,7 @@
 func Main(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	return run(ctx, args, streams{in: os.Stdin, out: os.Stdout, err: os.Stderr}, os.LookupEnv)
 }
 
--- /dev/null
+++ b/internal/command/standin_upstream.go
@@ -0,0 +1,54 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/settings"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/upstream"
+)
+
+func standinUpstreamCommand() *subcommand {
+	c := newSubcommand("upstream", "run a stand-in upstream for tests and trials")
+	o := &upstream.Options{}
+	set := c.settings
+	set.String(&o.Name, "name", "upstream", "name in the answers", false)
+	set.String(&o.Address, "address", "127.0.0.1:0", "host:port for tasks", true)
+	set.String(&o.ControlAddress, "control-address", "", "host:port for counters and faults; empty turns them off", false)
+	factor(set, &o.Factor, "factor", "factor by which the work time is multiplied; 2 is half the speed")
+	set.Bool(&o.Faults.Fail, "fail", false, "answer every task with status 500 at once")
+	factor(set, &o.Faults.Slow, "slow", "further factor of the work time, which can be changed as a fault")
+	set.Bool(&o.Faults.Hang, "hang", false, "never answer")
+	set.Bool(&o.Faults.Reset, "reset", false, "reset the connection after the work")
+	set.Bool(&o.Faults.Refuse, "refuse", false, "refuse connections")
+	set.Duration(&o.StopTimeout, "stop-timeout", defaultStopTimeout, minStopTimeout, maxStopTimeout,
+		"longest wait of a graceful shutdown")
+	c.run = func(ctx context.Context, std streams) int {
+		s, err := upstream.New(*o)
+		if err != nil {
+			return usageError(std, err)
+		}
+		fmt.Fprintf(std.out, "tasks %s\ncontrol %s\n", s.URL(), s.ControlURL())
+		if err := s.Serve(ctx); err != nil {
+			fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
+			return ExitFailure
+		}
+		return ExitOK
+	}
+	return c
+}
+
+// factor adds a setting for a positive factor.
+func factor(set *settings.Set, target *float64, name, usage string) {
+	set.Custom(name, "1", usage, "number above 0, at most 1000", func(value string) error {
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(n > 0 && n <= 1000) {
+			return eris.New("is out of range")
+		}
+		*target = n
+		return nil
+	})
+}
--- a/internal/command/stop.go
+++ b/internal/command/stop.go
@@ -7,8 +7,13 @@
 	"github.com/rotisserie/eris"
 )
 
-// minStopTimeout is the shortest stop timeout that the settings accept.
-const minStopTimeout = 100 * time.Millisecond
+// Default and bounds of the setting stop-timeout. The default is longer than the longest deadline of a job (60 s) plus
+// the handover.
+const (
+	defaultStopTimeout = 75 * time.Second
+	minStopTimeout     = 100 * time.Millisecond
+	maxStopTimeout     = 10 * time.Minute
+)
 
 // usageError reports a setting that the role did not accept.
 func usageError(std streams, err error) int {
