--- a/internal/command/standin_platform.go
+++ b/internal/command/standin_platform.go
@@ -19,15 +19,13 @@
 	maxStandInTTL   = time.Hour
 )
 
-func init() { standInMembers = append(standInMembers, newStandInPlatform) }
-
 type standInPlatform struct {
 	listen  string
 	options standin.Options
 	log     logSettings
 }
 
-func newStandInPlatform() *subcommand {
+func standinPlatformCommand() *subcommand {
 	c := newSubcommand("platform", "stand-in for the platform's key-value service, in memory")
 	s := &standInPlatform{}
 	s.register(c.settings)
--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -6,7 +6,10 @@
 		agentCommand(),
 	}
 	groups := []*group{
-		newStandInGroup(),
+		newGroup("stand-in", "stand-ins for outside systems, for tests and trials",
+			standinPlatformCommand(),
+			standinUpstreamCommand(),
+		),
 	}
 	return commands, groups
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -6,7 +6,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
@@ -121,7 +120,7 @@
 		c.adoptList(s.list)
 	}
 	if s.list == nil || s.list.Version < c.list.Version {
-		c.proposeChange(func(current *wire.EntryList) *wire.EntryList { return restoredList(current) })
+		c.proposeChange(restoredList)
 	}
 	c.joinList()
 	c.watchLeases(s)
@@ -129,13 +128,11 @@
 }
 
 // restoredList writes the known list back to a store that was restored from older data.
-func restoredList(current *wire.EntryList) *wire.EntryList {
-	if current.Version == 0 {
+func restoredList(current *wire.EntryList, stored uint64) *wire.EntryList {
+	if stored >= current.Version {
 		return nil
 	}
-	next := *current
-	next.Version++
-	return &next
+	return current
 }
 
 // joinList adds this entry to the list unless it is there, or left it.
@@ -144,7 +141,7 @@
 		return
 	}
 	self := c.self()
-	c.proposeChange(func(current *wire.EntryList) *wire.EntryList {
+	c.proposeChange(func(current *wire.EntryList, _ uint64) *wire.EntryList {
 		next, err := placement.Add(current, self, c.entry.options.Clock.Now())
 		if err != nil {
 			return nil
@@ -197,7 +194,7 @@
 
 func (c *control) expel(m wire.Member) {
 	c.log.WithField("entry", m.ID).Warn("entry: removing an entry whose lease and link are gone")
-	c.proposeChange(func(current *wire.EntryList) *wire.EntryList {
+	c.proposeChange(func(current *wire.EntryList, _ uint64) *wire.EntryList {
 		next, err := placement.Expel(current, m.ID, m.Incarnation, c.entry.options.Clock.Now())
 		if err != nil {
 			return nil
@@ -214,7 +211,7 @@
 	if _, err := placement.Prune(&c.list, c.now, c.options.Retention); err != nil {
 		return
 	}
-	c.proposeChange(func(current *wire.EntryList) *wire.EntryList {
+	c.proposeChange(func(current *wire.EntryList, _ uint64) *wire.EntryList {
 		next, err := placement.Prune(current, c.entry.options.Clock.Now(), c.options.Retention)
 		if err != nil {
 			return nil
@@ -264,5 +261,3 @@
 	}()
 	return cancel
 }
-
-var _ = link.Path
--- a/internal/entry/storesync.go
+++ b/internal/entry/storesync.go
@@ -145,8 +145,9 @@
 	return call(ctx)
 }
 
-// listChange computes a new list from the current one. It returns nil when there is nothing to change.
-type listChange func(current *wire.EntryList) *wire.EntryList
+// listChange computes a new list from the current one, given the version in the store. It returns nil when there is
+// nothing to change.
+type listChange func(current *wire.EntryList, stored uint64) *wire.EntryList
 
 // changeList applies a change to the list in the store by compare-and-swap. The read that begins each try shows whether
 // a write without an answer took effect, because the change then finds nothing left to do. A store that was restored from
@@ -157,8 +158,9 @@
 		if err != nil {
 			return err
 		}
+		stored := current.Version
 		current, _ = placement.Newer(current, known)
-		next := change(current)
+		next := change(current, stored)
 		if next == nil {
 			e.post(func(c *control) { c.adoptList(current) })
 			return nil
