Add the entry role

An entry takes jobs over HTTP, finds their home, and as the home hands the tasks to the dispatch policy and the agents. One control goroutine owns the state; a table decides on each key.

--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -3,6 +3,7 @@
 // subcommands returns every subcommand of the program.
 func subcommands() ([]*subcommand, []*group) {
 	commands := []*subcommand{
+		entryCommand(),
 		agentCommand(),
 	}
 	groups := []*group{
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -56,7 +56,6 @@
 	}
 	c.timers.cancel(s.lostTimer)
 	s.hello, s.link, s.leaving = hello, l, hello.Leaving
-	c.agentSeen(s)
 	c.queryAttempts(s)
 	c.offerAgent(s)
 	c.sendDocuments(l, hello.Services, hello.DocumentRevisions)
@@ -84,6 +83,9 @@
 	wait := agentLostAfter
 	if s.leaving && len(s.attempts) == 0 {
 		wait = 0
+		c.perform(c.table.AgentGone(c.now, s.ref()))
+	} else {
+		c.perform(c.table.AgentDisconnected(c.now, s.ref()))
 	}
 	s.lostTimer = c.timers.add(c.now.Add(wait), func(time.Time) { c.dropAgent(s) })
 	c.log.WithField("agent", s.id).WithField("cause", eris.ToString(cause, false)).Warn("entry: agent disconnected")
@@ -95,7 +97,6 @@
 	if c.agents[s.id] == s {
 		delete(c.agents, s.id)
 	}
-	c.agentGone(s)
 	for _, a := range s.attempts {
 		c.endAttempt(a, dispatch.Result{State: dispatch.Lost}, wire.TaskAnswer{Outcome: wire.OutcomeUnknown})
 	}
@@ -127,7 +128,7 @@
 		return
 	}
 	service.policy.SetUpstream(c.now, dispatch.Upstream{
-		ID: s.id, DataCentre: s.hello.DataCentre, Slots: min(int(s.hello.Slots), service.slots()),
+		ID: s.id, DataCentre: s.hello.DataCentre, Slots: service.document.SlotsOf(int(s.hello.Slots)),
 		MemoryMB: s.hello.MemoryMB, Accelerators: s.hello.Accelerators,
 	})
 }
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -103,10 +103,10 @@
 		Service: j.spec.Service, Kind: j.kind.Name, Method: j.kind.Method, Path: path,
 		Headers: spec.Headers, Body: spec.Body,
 		BudgetMillis: uint32(max(j.deadline.Sub(c.now).Milliseconds(), 1)),
-		Urgent:       j.kind.Urgent || j.spec.Urgent, Idempotent: j.kind.Idempotent,
+		Urgent:       j.kind.Urgent, Idempotent: j.kind.Idempotent,
 		Long: assignment.Long, Retry: assignment.Retry, DocumentRevision: j.service.revision,
 	}
-	if !j.issued {
+	if j.tableJob != 0 {
 		m.ListVersion = c.list.Version
 	}
 	return m
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -6,7 +6,9 @@
 
 	"github.com/apex/log"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/dispatch"
+	"github.com/coltsfootspur/coltsfootspur/internal/document"
+	"github.com/coltsfootspur/coltsfootspur/internal/quota"
+	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -16,41 +18,83 @@
 	options     Options
 	log         log.Interface
 	incarnation uint64
+	startedAt   time.Time
 	metrics     *metrics
 	random      *rand.Rand
 
 	now    time.Time
 	timers timerQueue
 
-	list     wire.EntryList
-	services map[string]*service
-	agents   map[string]*agentSession
-	peers    map[string]*peer
+	// list is the list of entries that the table uses.
+	list  wire.EntryList
+	table *table.Table
+	tick  *timerEntry // next call of the table's Tick
 
-	jobs        map[uint64]*job
-	running     map[wire.KeyHash]*job
-	forwards    map[uint64]*forward
-	lastJob     uint64
-	lastAttempt uint64
-	lastRequest uint64
+	documents *document.Registry
+	services  map[string]*service
+	quotas    *quota.Quotas
+	agents    map[string]*agentSession
+	peers     map[string]*peer
 
+	jobs      map[uint64]*job
+	running   map[wire.KeyHash]*job
+	tableJobs map[table.Job]*job
+	forwards  map[uint64]*forward
+	waiting   map[*waiting]struct{}
+
+	lastJob, lastAttempt, lastRequest uint64
+
+	// leaseGoneSince has, by incarnation, when the store first showed no lease of a member.
+	leaseGoneSince map[uint64]time.Time
+	// changing and repairing are set while a write to the store is under way.
+	changing, repairing bool
+	// stopping is set from the begin of a graceful shutdown; the entry then does not join the list again.
 	stopping bool
-	drained  chan struct{}
 }
 
 func newControl(e *Entry) *control {
 	now := e.options.Clock.Now()
-	return &control{
-		entry: e, options: e.options, log: e.log, incarnation: e.incarnation, metrics: newMetrics(e),
+	c := &control{
+		entry: e, options: e.options, log: e.log, incarnation: e.incarnation, startedAt: now, metrics: newMetrics(e),
 		random: rand.New(rand.NewPCG(e.incarnation, uint64(now.UnixNano()))), now: now,
-		services: make(map[string]*service), agents: make(map[string]*agentSession), peers: make(map[string]*peer),
-		jobs: make(map[uint64]*job), running: make(map[wire.KeyHash]*job), forwards: make(map[uint64]*forward),
+		documents: document.NewRegistry(), services: make(map[string]*service), quotas: quota.New(now),
+		agents: make(map[string]*agentSession), peers: make(map[string]*peer),
+		jobs: make(map[uint64]*job), running: make(map[wire.KeyHash]*job), tableJobs: make(map[table.Job]*job),
+		forwards: make(map[uint64]*forward), waiting: make(map[*waiting]struct{}),
+		leaseGoneSince: make(map[uint64]time.Time),
+	}
+	c.table = table.New(table.Config{
+		Retention: e.options.Retention, MaxEntries: e.options.TableEntries, MaxAnswerBytes: e.options.TableBytes,
+	}, c.self())
+	c.planQuotaReport()
+	return c
+}
+
+// self returns this entry as a member of the list.
+func (c *control) self() wire.Member {
+	return wire.Member{
+		ID: c.options.ID, Incarnation: c.incarnation, Address: c.options.AdvertiseAddress,
+		DataCentre: c.options.DataCentre, Region: c.options.Region, State: wire.MemberActive,
+	}
+}
+
+// updateQuotaPeers tells the quotas which other entries share them.
+func (c *control) updateQuotaPeers() {
+	var ids []string
+	for _, m := range c.list.Members {
+		if m.ID != c.options.ID {
+			ids = append(ids, m.ID)
+		}
 	}
+	c.quotas.SetPeers(c.now, ids)
 }
 
-// service is one service with its document and the policy that holds its waiting tasks.
-type service struct {
-	name     string
-	revision uint64
-	policy   dispatch.Policy
+// planQuotaReport sends the usage of the teams to the other entries at the interval of the quotas.
+func (c *control) planQuotaReport() {
+	c.timers.add(c.quotas.Due(), func(now time.Time) {
+		if usage := c.quotas.Usage(now); len(usage.Teams) > 0 {
+			c.broadcast(&usage)
+		}
+		c.planQuotaReport()
+	})
 }
--- /dev/null
+++ b/internal/entry/documents.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/document"
+	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/quota"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// documentProbe is the time in which the receiver of a document shows a sign of life. A silent link is closed after it,
+// and the receiver gets the document on the next one, within the bound of 4 s.
+const documentProbe = 500 * time.Millisecond
+
+// maxRepairDelay spreads the writes of entries that all see a store with older data.
+const maxRepairDelay = 2 * time.Second
+
+// documentsSeen applies what the store shows and repairs a store that shows older revisions.
+func (c *control) documentsSeen(entries []platform.Entry) {
+	changes, problems := c.documents.ApplySnapshot(entries)
+	for _, problem := range problems {
+		c.log.WithField("cause", eris.ToString(problem, false)).Error("document: cannot read a document of the store")
+	}
+	for _, change := range changes {
+		c.documentChanged(change)
+	}
+	repairs, err := c.documents.Repairs(entries)
+	if err != nil {
+		c.log.WithField("cause", eris.ToString(err, false)).Error("document: cannot compute repairs of the store")
+		return
+	}
+	if len(repairs) > 0 && !c.repairing {
+		c.repairing = true
+		go c.entry.repairStore(repairs)
+	}
+}
+
+// repairStore writes newer revisions back. Another entry may be faster; its write makes this one a conflict.
+func (e *Entry) repairStore(repairs []document.Repair) {
+	e.sleep(e.background, rand.N(maxRepairDelay))
+	for _, r := range repairs {
+		err := e.withStore(e.background, func(ctx context.Context) error {
+			return e.options.Store.CompareAndSwap(ctx, r.Key, r.Value, r.Version)
+		})
+		if err == nil {
+			e.log.WithField("service", r.Service).Warn("document: wrote a newer revision back to the store")
+		} else if !errors.Is(err, platform.ErrConflict) {
+			e.log.WithField("service", r.Service).WithField("cause", eris.ToString(err, false)).
+				Warn("document: cannot write a newer revision back to the store")
+		}
+	}
+	e.post(func(c *control) { c.repairing = false })
+}
+
+// documentReceived applies a document that another entry pushed.
+func (c *control) documentReceived(m *wire.DocumentPush) {
+	change, applied, err := c.documents.ApplyPush(m)
+	if err != nil {
+		c.log.WithField("cause", eris.ToString(err, false)).Error("document: refused a malformed document")
+		return
+	}
+	if applied {
+		c.documentChanged(change)
+	}
+}
+
+// documentChanged puts a new revision into force here and passes it on.
+func (c *control) documentChanged(change document.Change) {
+	d := change.Document
+	c.entry.versions.documents.Store(c.documents.Digest())
+	if change.Problem != nil {
+		c.log.WithField("service", d.Service).WithField("revision", d.Revision).
+			WithField("cause", eris.ToString(change.Problem, false)).
+			Error("document: revision is not understood; the former one stays in force")
+	} else if change.Service == nil {
+		c.removeService(d.Service)
+	} else {
+		c.applyDocument(d.Service, d.Revision, change.Service)
+	}
+	c.updateLimits()
+	push := document.ToPush(d)
+	for _, p := range c.peers {
+		c.pushDocument(p.link, push)
+	}
+	for _, s := range c.agents {
+		if slices.Contains(s.hello.Services, d.Service) {
+			c.pushDocument(s.link, push)
+		}
+	}
+}
+
+func (c *control) pushDocument(l *link.Link, push *wire.DocumentPush) {
+	if l != nil && l.Send(push) == nil {
+		l.Probe(documentProbe)
+	}
+}
+
+// sendDocuments sends the documents that are newer than the revisions of the peer; services limits them, nil does not.
+func (c *control) sendDocuments(l *link.Link, services []string, revisions map[string]uint64) {
+	var wanted func(string) bool
+	if services != nil {
+		wanted = func(name string) bool { return slices.Contains(services, name) }
+	}
+	for _, push := range c.documents.MissingPushes(&wire.DocumentPull{Revisions: revisions}, wanted) {
+		_ = l.Send(push)
+	}
+}
+
+// updateLimits derives the quotas of the teams from all documents. A team with several services has the sum of their
+// rates and bursts.
+func (c *control) updateLimits() {
+	limits := make(map[string]quota.Limit)
+	for _, s := range c.services {
+		q := s.document.Quota
+		if q == nil {
+			continue
+		}
+		l := limits[s.document.Team]
+		l.Rate += q.Rate
+		l.Burst += float64(q.Burst)
+		l.Running += q.Running
+		limits[s.document.Team] = l
+	}
+	c.quotas.SetLimits(c.now, limits)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,12 +11,14 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/admin"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 )
 
@@ -24,6 +26,8 @@
 var (
 	ErrListen  = eris.New("entry cannot listen")
 	ErrOptions = eris.New("invalid options of the entry")
+	// ErrExpelled means that the other entries removed this one. A new Entry can join again.
+	ErrExpelled = eris.New("entry was removed from the list of entries")
 )
 
 // Entry is one process of the role.
@@ -40,6 +44,14 @@
 	versions   versions
 	inProgress atomic.Int64
 	ready      atomic.Bool
+	storeDown  atomic.Bool
+	expulsion  chan struct{}
+	admin      *admin.Server
+
+	// background ends when the run ends. Diallers counts the goroutines that dial other entries.
+	background context.Context
+	cancel     context.CancelFunc
+	diallers   sync.WaitGroup
 
 	callers, links net.Listener
 }
@@ -59,7 +71,9 @@
 	e := &Entry{
 		options: options, log: options.Log, incarnation: rand.Uint64() | 1, startedAt: options.Clock.Now(),
 		events: make(chan func(*control), eventQueueLength), stopped: make(chan struct{}),
+		expulsion: make(chan struct{}, 1),
 	}
+	e.background, e.cancel = context.WithCancel(context.Background())
 	var err error
 	if e.callers, err = net.Listen("tcp", options.CallerAddress); err != nil {
 		return nil, eris.Wrapf(ErrListen, "for callers: %v", err)
@@ -71,10 +85,24 @@
 	if e.options.AdvertiseAddress == "" {
 		e.options.AdvertiseAddress = e.links.Addr().String()
 	}
+	e.options.Log = e.log
 	e.control = newControl(e)
+	if e.admin, err = e.newAdmin(); err != nil {
+		_ = e.callers.Close()
+		_ = e.links.Close()
+		return nil, err
+	}
 	return e, nil
 }
 
+// AdminAddress returns the address of the operator endpoints, or "" when there are none.
+func (e *Entry) AdminAddress() string {
+	if e.admin == nil {
+		return ""
+	}
+	return e.admin.Address()
+}
+
 // CallerAddress returns the address on which callers are served.
 func (e *Entry) CallerAddress() string { return e.callers.Addr().String() }
 
@@ -98,17 +126,15 @@
 }
 
 // Run serves until the context ends, then stops gracefully: it finishes the jobs it holds, hands its submissions over
-// and returns. It returns early with an error when a listener fails.
+// and returns nil. It returns ErrExpelled after the other entries removed this one, or the error of a listener.
 func (e *Entry) Run(ctx context.Context) error {
-	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
 	failed := make(chan error, 2)
 	callers := e.httpServer(e.newCallerServer())
 	links := e.httpServer(http.HandlerFunc(e.serveLink))
 	go serve(callers, e.callers, failed)
 	go serve(links, e.links, failed)
-	go e.run(background)
-	supervisor := e.supervise(background)
+	go e.run(e.background)
+	services := e.supervise(e.background)
 	e.ready.Store(true)
 	e.log.WithField("id", e.options.ID).WithField("callers", e.CallerAddress()).
 		WithField("links", e.LinkAddress()).Info("entry: started")
@@ -116,13 +142,17 @@
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
+	case <-e.expulsion:
+		err = ErrExpelled
 	}
-	stopping, stop := context.WithTimeout(background, e.options.StopTimeout)
+	stopping, stop := context.WithTimeout(e.background, e.options.StopTimeout)
 	defer stop()
 	e.stop(stopping, callers)
-	cancel()
+	_ = e.call(stopping, func(c *control) { c.closeLinks() })
+	e.cancel()
 	<-e.stopped
-	<-supervisor
+	<-services
+	e.diallers.Wait()
 	_ = links.Close()
 	_ = callers.Close()
 	return err
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -18,7 +19,7 @@
 // forward is a request that waits for the answer of another entry.
 type forward struct {
 	request  uint64
-	target   string
+	target   wire.Member
 	held     bool
 	action   wire.ForwardAction
 	job      wire.Job
@@ -30,7 +31,7 @@
 
 // forwardTo passes a request on to another entry. The request is sent again on every new link until it is answered, which
 // is safe because the home recognises the key.
-func (c *control) forwardTo(target string, held bool, s submission) {
+func (c *control) forwardTo(target wire.Member, held bool, s submission) {
 	c.lastRequest++
 	f := &forward{
 		request: c.lastRequest, target: target, held: held, action: s.action,
@@ -44,7 +45,7 @@
 }
 
 func (c *control) sendForward(f *forward) {
-	p := c.peers[f.target]
+	p := c.peers[f.target.ID]
 	if p == nil || p.link == nil {
 		return
 	}
@@ -58,7 +59,7 @@
 
 func (c *control) resendForwards(p *peer) {
 	for _, f := range c.forwards {
-		if f.target == p.id {
+		if f.target.ID == p.id {
 			c.sendForward(f)
 		}
 	}
@@ -71,7 +72,6 @@
 	delete(c.forwards, f.request)
 	c.timers.cancel(f.timer)
 	f.reply(reply)
-	c.checkDrained()
 }
 
 // forwardAnswered handles the reply of another entry.
@@ -83,11 +83,16 @@
 	if f == nil {
 		return
 	}
+	if f.held && m.Status == wire.ForwardNotFound {
+		c.table.HolderMissing(f.key, f.target)
+		c.routeAgain(f)
+		return
+	}
 	if m.Status != wire.ForwardNotHome {
 		c.endForward(f, m)
 		return
 	}
-	if p := c.peers[f.target]; p != nil && p.link != nil && m.List != nil && m.List.Version < c.list.Version {
+	if p := c.peers[f.target.ID]; p != nil && p.link != nil && m.List != nil && m.List.Version < c.list.Version {
 		c.sendList(p.link)
 	}
 	c.timers.add(c.now.Add(forwardRetryDelay), func(time.Time) { c.routeAgain(f) })
@@ -108,7 +113,7 @@
 // all others are sent to the same one again only if it asks for it.
 func (c *control) rerouteForwards() {
 	for _, f := range c.forwards {
-		if !c.isMember(f.target) {
+		if !c.isListed(f.target) {
 			c.routeAgain(f)
 		}
 	}
@@ -120,24 +125,15 @@
 		r.Request = m.Request
 		_ = l.Send(r)
 	}
-	if m.ListVersion != c.list.Version {
-		list := c.list
-		reply(&wire.ForwardReply{Status: wire.ForwardNotHome, List: &list})
-		return
-	}
 	s := submission{
 		action: m.Action, job: m.Job, forwarded: true,
-		deadline: c.now.Add(time.Duration(m.Job.BudgetMillis) * time.Millisecond),
-		reply:    reply,
+		deadline:    c.now.Add(time.Duration(m.Job.BudgetMillis) * time.Millisecond),
+		key:         placement.HashKey(m.Job.Service, m.Job.Key),
+		listVersion: m.ListVersion, held: m.Held, reply: reply,
 	}
-	s.key = hashKey(m.Job.Service, m.Job.Key)
-	c.acceptForward(s, m.Held)
+	c.route(s)
 }
 
-// forwardCancelled is informational: a job with a key goes on when one of its callers leaves, because another caller can
-// join it. A caller that wants to cancel sends ForwardCancelJob.
-func (c *control) forwardCancelled(*link.Link, *wire.ForwardCancel) {}
-
 func unknownReply(reason wire.Reason, message string) *wire.ForwardReply {
 	return &wire.ForwardReply{Status: wire.ForwardAnswered, Answer: &wire.Answer{
 		Outcome: wire.OutcomeUnknown, Reason: reason, Message: message,
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -11,12 +10,10 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/api"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
-// HeaderUrgent asks for urgent treatment of a request; the service document must allow it for the kind.
-const HeaderUrgent = "Coltsfootspur-Urgent"
-
 // newCallerServer returns the HTTP interface for callers.
 func (e *Entry) newCallerServer() *echo.Echo {
 	server := echo.New()
@@ -93,7 +90,6 @@
 func (e *Entry) submitFromCaller(c echo.Context, job wire.Job) (*wire.ForwardReply, error) {
 	header := c.Request().Header
 	job.Service = c.Param("service")
-	job.Urgent = header.Get(HeaderUrgent) == "true"
 	if value := header.Get(api.HeaderKey); value != "" {
 		key, err := api.ParseKey(value)
 		if err != nil {
@@ -102,7 +98,7 @@
 		job.Key = key
 	}
 	cancelOnClose := job.Key == "" || header.Get(api.HeaderCancelOnClose) == "true"
-	job.Digest = digestJob(&job)
+	job.Digest = placement.Digest(&job)
 	e.inProgress.Add(1)
 	defer e.inProgress.Add(-1)
 	return e.exchange(c, submission{action: wire.ForwardSubmit, job: job}, cancelOnClose), nil
@@ -235,20 +231,8 @@
 		status = known.Code
 	}
 	answer := &api.Answer{Outcome: api.OutcomeNotRun, Reason: wire.ReasonInvalidRequest, Message: http.StatusText(status)}
-	_ = writeJSON(c, status, answer, 0)
-}
-
-// waitIdle waits until no caller waits for an answer.
-func (e *Entry) waitIdle(ctx context.Context) error {
-	const pollInterval = 10 * time.Millisecond
-	for e.inProgress.Load() > 0 {
-		timer := e.options.Clock.NewTimer(pollInterval)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C():
-		}
+	if status >= http.StatusInternalServerError {
+		answer.Outcome, answer.Reason = api.OutcomeUnknown, ""
 	}
-	return nil
+	_ = writeJSON(c, status, answer, 0)
 }
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -5,6 +5,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/dispatch"
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
+	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -16,7 +17,7 @@
 type job struct {
 	id       uint64
 	key      wire.KeyHash
-	issued   bool // the key was issued by this entry, so that no other entry can be its home
+	tableJob table.Job // 0 for a job whose key was issued by this entry, so that no other entry can be its home
 	spec     wire.Job
 	service  *service
 	kind     document.Kind
@@ -26,6 +27,7 @@
 	failure  *failure
 	timer    *timerEntry
 	finished bool
+	replies  []func(*wire.ForwardReply)
 }
 
 // task is one task of a running job. Outcome is 0 while the task is open.
@@ -42,22 +44,25 @@
 	retryAfter time.Duration
 }
 
-// startJob begins to run a submission whose key is new.
-func (c *control) startJob(key wire.KeyHash, issued bool, spec wire.Job, s *service, kind document.Kind) {
+// startJob begins to run a submission whose key is new, for the request that brought it.
+func (c *control) startJob(s submission, service *service, tableJob table.Job) {
+	kind, _ := service.document.Kind(s.job.Kind)
 	c.lastJob++
 	j := &job{
-		id: c.lastJob, key: key, issued: issued, spec: spec, service: s, kind: kind,
-		deadline: c.now.Add(time.Duration(spec.BudgetMillis) * time.Millisecond),
-		tasks:    make([]task, len(spec.Tasks)), open: len(spec.Tasks),
+		id: c.lastJob, key: s.key, tableJob: tableJob, spec: s.job, service: service, kind: kind, deadline: s.deadline,
+		tasks: make([]task, len(s.job.Tasks)), open: len(s.job.Tasks), replies: []func(*wire.ForwardReply){s.reply},
 	}
 	c.jobs[j.id] = j
-	c.running[key] = j
-	refusal := s.policy.Submit(c.now, dispatch.Job{
-		ID: j.id, Team: spec.Team, Kind: kind.Name, Urgent: kind.Urgent || spec.Urgent,
-		Idempotent: kind.Idempotent, Deadline: j.deadline, Tasks: uint16(len(spec.Tasks)),
+	c.running[j.key] = j
+	if tableJob != 0 {
+		c.tableJobs[tableJob] = j
+	}
+	refusal := service.policy.Submit(c.now, dispatch.Job{
+		ID: j.id, Team: j.spec.Team, Kind: kind.Name, Urgent: kind.Urgent, Idempotent: kind.Idempotent,
+		Deadline: j.deadline, Tasks: uint16(len(j.tasks)),
 	})
 	if refusal != nil {
-		c.failJob(j, failure{reason: refusal.Reason, retryAfter: refusal.RetryAfter})
+		j.failure = &failure{reason: refusal.Reason, retryAfter: refusal.RetryAfter}
 		c.closeOpenTasks(j, wire.OutcomeNotRun)
 		return
 	}
@@ -138,10 +143,17 @@
 	c.timers.cancel(j.timer)
 	delete(c.jobs, j.id)
 	delete(c.running, j.key)
+	c.quotas.Release(j.spec.Team, len(j.tasks))
 	answer := j.answer()
+	if j.tableJob != 0 {
+		delete(c.tableJobs, j.tableJob)
+		answer = c.table.Complete(c.now, j.tableJob, answer)
+		c.sendHandovers()
+	}
 	c.metrics.countAnswer(answer)
-	c.submissions.complete(c, j.key, answer)
-	c.checkDrained()
+	for _, reply := range j.replies {
+		reply(&wire.ForwardReply{Status: wire.ForwardAnswered, Answer: answer})
+	}
 }
 
 func (j *job) answer() *wire.Answer {
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -44,7 +45,7 @@
 	w := &wire.Welcome{
 		ID: c.options.ID, Incarnation: c.incarnation, DataCentre: c.options.DataCentre, Region: c.options.Region,
 		HeartbeatMillis:   uint32(link.HeartbeatInterval(len(c.agents) + len(c.peers)).Milliseconds()),
-		DocumentRevisions: c.documentRevisions(), List: &list,
+		DocumentRevisions: c.documents.Revisions(), List: &list,
 	}
 	switch {
 	case hello.ID == "":
@@ -52,6 +53,11 @@
 	case hello.Role == wire.RoleAgent:
 		w.Refused = c.refusesAgent(hello)
 		w.DocumentRevisions = nil
+		if w.Refused == "" {
+			// The other entries learn of the agent before it can get a start, so that they ask it if this entry is lost.
+			ref := table.AgentRef{ID: hello.ID, Incarnation: hello.Incarnation}
+			c.perform(c.table.AgentConnected(c.now, ref, hello.StartedAt))
+		}
 	case hello.Role != wire.RoleEntry:
 		w.Refused = "the role is not known"
 	}
@@ -130,7 +136,7 @@
 		DataCentre: e.options.DataCentre, Region: e.options.Region, StartedAt: e.startedAt,
 	}
 	err := e.call(ctx, func(c *control) {
-		hello.ListVersion, hello.DocumentRevisions = c.list.Version, c.documentRevisions()
+		hello.ListVersion, hello.DocumentRevisions = c.list.Version, c.documents.Revisions()
 	})
 	if err != nil {
 		return nil
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -7,33 +7,12 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
+	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
-// errNotListed is the cause for closing the link of an entry that left the list.
-var errNotListed = eris.New("peer left the list of entries")
-
-// self returns this entry as a member of the list.
-func (c *control) self() wire.Member {
-	return wire.Member{
-		ID: c.options.ID, Incarnation: c.incarnation, Address: c.entry.options.AdvertiseAddress,
-		DataCentre: c.options.DataCentre, Region: c.options.Region, State: wire.MemberActive,
-	}
-}
-
-// membership returns the state of this entry in the list, and false when it is no member.
-func (c *control) membership() (wire.MemberState, bool) {
-	m, ok := placement.Find(&c.list, c.options.ID, c.incarnation)
-	return m.State, ok
-}
-
-// mayStart tells whether this entry may start tasks of a job. A job with a caller's key needs membership, because another
-// entry can take the key over once this one was removed.
-func (c *control) mayStart(j *job) bool {
-	if j.issued {
-		return true
-	}
-	_, ok := c.membership()
+func (c *control) isListed(m wire.Member) bool {
+	_, ok := placement.Find(&c.list, m.ID, m.Incarnation)
 	return ok
 }
 
@@ -46,38 +25,6 @@
 	return false
 }
 
-// adoptList takes a list into use if it is newer than the present one.
-func (c *control) adoptList(list *wire.EntryList) {
-	if list == nil || list.Version <= c.list.Version {
-		return
-	}
-	_, wasMember := c.membership()
-	c.list = *list
-	c.entry.versions.list.Store(list.Version)
-	c.log.WithField("version", list.Version).WithField("members", len(list.Members)).Info("entry: list of entries changed")
-	if _, member := c.membership(); wasMember && !member && !c.stopping {
-		c.expelled()
-	}
-	c.updateDiallers()
-	c.recoverAfter(list)
-	c.rerouteForwards()
-	for _, p := range c.peers {
-		if p.link != nil {
-			c.sendList(p.link)
-		}
-	}
-}
-
-// expelled is called when another entry removed this one. Jobs with a caller's key fail as they need to start another
-// task; the process ends its run and joins again under a new incarnation.
-func (c *control) expelled() {
-	c.log.Error("entry: removed from the list of entries by another entry; joining again")
-	select {
-	case c.entry.expulsions <- struct{}{}:
-	default:
-	}
-}
-
 // updateDiallers starts a dialler for each member with a higher id and stops those of entries that left.
 func (c *control) updateDiallers() {
 	for _, m := range c.list.Members {
@@ -119,7 +66,7 @@
 	if s.list != nil && s.list.Version > c.list.Version {
 		c.adoptList(s.list)
 	}
-	if s.list == nil || s.list.Version < c.list.Version {
+	if c.list.Version > placement.Version(s.list) {
 		c.proposeChange(restoredList)
 	}
 	c.joinList()
@@ -208,11 +155,11 @@
 	if first := firstActive(&c.list); first != c.options.ID || len(c.list.Departed) == 0 {
 		return
 	}
-	if _, err := placement.Prune(&c.list, c.now, c.options.Retention); err != nil {
+	if _, err := placement.Prune(&c.list, c.now, c.departedKeep()); err != nil {
 		return
 	}
 	c.proposeChange(func(current *wire.EntryList, _ uint64) *wire.EntryList {
-		next, err := placement.Prune(current, c.entry.options.Clock.Now(), c.options.Retention)
+		next, err := placement.Prune(current, c.entry.options.Clock.Now(), c.departedKeep())
 		if err != nil {
 			return nil
 		}
@@ -248,6 +195,11 @@
 	}()
 }
 
+// departedKeep is the time for which departed entries stay in the list.
+func (c *control) departedKeep() time.Duration {
+	return table.Config{Retention: c.options.Retention}.DepartedKeep()
+}
+
 // changeTimeout bounds one change of the list with its repetitions.
 const changeTimeout = 10 * time.Second
 
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -44,6 +44,9 @@
 	// ExpulsionDelay is the time for which lease and link of another entry must be gone before it is removed.
 	// Default 10 s.
 	ExpulsionDelay time.Duration
+	// ReadinessDelay is the time between the fall of the readiness and the end of the listener, in which the balancer
+	// stops sending requests. Default 1 s; negative for none.
+	ReadinessDelay time.Duration
 	// StopTimeout bounds a graceful shutdown. Default 75 s, which is longer than the longest deadline of a job.
 	StopTimeout time.Duration
 
@@ -61,6 +64,7 @@
 	DefaultTableBytes     = 64 << 20
 	DefaultLeaseTTL       = 15 * time.Second
 	DefaultExpulsionDelay = 10 * time.Second
+	DefaultReadinessDelay = time.Second
 	DefaultStopTimeout    = 75 * time.Second
 )
 
@@ -70,6 +74,7 @@
 	setDefault(&o.TableBytes, DefaultTableBytes)
 	setDefault(&o.LeaseTTL, DefaultLeaseTTL)
 	setDefault(&o.ExpulsionDelay, DefaultExpulsionDelay)
+	setDefault(&o.ReadinessDelay, DefaultReadinessDelay)
 	setDefault(&o.StopTimeout, DefaultStopTimeout)
 	if o.Clock == nil {
 		o.Clock = clock.System{}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -16,6 +16,7 @@
 	incarnation uint64
 	link        *link.Link // nil while there is none
 	downSince   time.Time  // when link became nil
+	address     string     // that the dialler uses
 	stopDialler context.CancelFunc
 }
 
@@ -42,8 +43,9 @@
 	}
 	c.greetPeer(p, hello.ListVersion, hello.DocumentRevisions)
 	c.log.WithField("entry", p.id).Info("entry: connected to another entry")
+	c.perform(c.table.MemberConnected(memberOf(l)))
+	c.sendHandovers()
 	c.resendForwards(p)
-	c.continueRecovery()
 }
 
 // greetPeer sends what a newly connected entry may lack.
@@ -52,7 +54,7 @@
 		c.sendList(p.link)
 	}
 	c.sendDocuments(p.link, nil, revisions)
-	c.sendRoster(p.link)
+	_ = p.link.Send(c.table.FullRoster(c.now))
 }
 
 // detachPeer notes that a link to another entry has closed. Forwarded jobs are sent again on the next link.
@@ -80,8 +82,6 @@
 		c.forwardReceived(l, m)
 	case *wire.ForwardReply:
 		c.forwardAnswered(m)
-	case *wire.ForwardCancel:
-		c.forwardCancelled(l, m)
 	case *wire.Inherit:
 		c.inheritReceived(l, m)
 	case *wire.Inherited:
@@ -95,9 +95,9 @@
 	case *wire.DocumentPull:
 		c.sendDocuments(l, nil, m.Revisions)
 	case *wire.AgentRoster:
-		c.rosterReceived(m)
+		c.rosterReceived(l, m)
 	case *wire.QuotaUsage:
-		c.quotaReceived(l.Peer().Hello.ID, m)
+		c.quotas.Report(c.now, l.Peer().Hello.ID, *m)
 	case *wire.Pong:
 		c.comparePeer(l, m.ListVersion, m.DocumentDigest)
 	case *wire.Ping:
@@ -110,8 +110,8 @@
 	if listVersion < c.list.Version {
 		c.sendList(l)
 	}
-	if l.Peer().Hello.Role == wire.RoleEntry && documentDigest != c.documentDigest() {
-		_ = l.Send(&wire.DocumentPull{Revisions: c.documentRevisions()})
+	if l.Peer().Hello.Role == wire.RoleEntry && documentDigest != c.documents.Digest() {
+		_ = l.Send(&wire.DocumentPull{Revisions: c.documents.Revisions()})
 	}
 }
 
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -5,6 +5,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/dispatch"
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
 // service is one service with its document and the policy that holds its waiting tasks.
@@ -53,7 +54,7 @@
 	}
 	for _, j := range c.jobs {
 		if j.service == s {
-			c.failJob(j, failure{reason: reasonDeleted, message: "the service was deleted"})
+			c.failJob(j, failure{reason: wire.ReasonNoService, message: "the service was deleted"})
 		}
 	}
 	delete(c.services, name)
@@ -102,5 +103,5 @@
 	if wish <= 0 {
 		wish = k.Deadline
 	}
-	return min(wish, maxDeadline)
+	return min(wish, wire.MaxDeadline)
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -434,12 +434,33 @@
 type AgentPresence struct {
 	ID          string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
-	// Gone is set when the agent left after a graceful shutdown.
+	// Gone is set when the agent left after a graceful shutdown or was replaced by another incarnation.
 	Gone bool `cbor:"3,keyasint,omitempty"`
+	// SilentMillis is the time since the sender knew the agent to be connected, or since it learned that the agent is
+	// gone; 0 for an agent that is connected to the sender.
+	SilentMillis uint32 `cbor:"4,keyasint,omitempty"`
+	// StartedAt orders the incarnations of one agent.
+	StartedAt time.Time `cbor:"5,keyasint"`
 }
 
 // AgentRoster tells another entry which agents connected or left. Full is set for the whole set on a new link.
 type AgentRoster struct {
 	Agents []AgentPresence `cbor:"1,keyasint,omitempty"`
 	Full   bool            `cbor:"2,keyasint,omitempty"`
+	// Heard is set with Full: the incarnations of the entries whose whole roster is part of this one.
+	Heard []uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// String names the reason in metrics and logs.
+func (r RefusalReason) String() string {
+	if int(r) < len(refusalNames) && refusalNames[r] != "" {
+		return refusalNames[r]
+	}
+	return "other"
+}
+
+var refusalNames = [...]string{
+	RefusedNone: "none", RefusedBusy: "busy", RefusedLeaving: "leaving", RefusedStaleList: "stale_list",
+	RefusedFenced: "fenced", RefusedCancelled: "cancelled", RefusedExpired: "expired", RefusedDuplicate: "duplicate",
+	RefusedInvalid: "invalid", RefusedFull: "full", RefusedDown: "down",
 }
