Compare the dispatch policies in virtual time

Several entries run the real policy code over a model of slots, agent queues, message delays and seeded arrivals.

--- /dev/null
+++ b/internal/command/policy_compare.go
@@ -0,0 +1,119 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/dispatch/policysim"
+)
+
+// all selects every deployment or scenario.
+const all = "all"
+
+// policyCompare holds the settings of the subcommand policy-compare.
+type policyCompare struct {
+	deployment, scenario          string
+	entries, seed, runs, parallel int
+	length                        time.Duration
+	json                          bool
+}
+
+// newPolicyCompare returns the subcommand that compares the dispatch policies in virtual time.
+func newPolicyCompare() *subcommand {
+	c := newSubcommand("policy-compare", "compare the dispatch policies in virtual time on the same seeds")
+	p := &policyCompare{}
+	s := c.settings
+	s.Choice(&p.deployment, "deployment", all, "deployment to model", append(deploymentNames(), all)...)
+	s.Choice(&p.scenario, "scenario", all, "scenario to run", append(scenarioNames(), all)...)
+	s.Int(&p.entries, "entries", 4, 2, 32, "number of entries that decide independently")
+	s.Int(&p.seed, "seed", 1, 0, 1<<30, "first seed")
+	s.Int(&p.runs, "runs", 3, 1, 100, "number of seeds whose observations are merged")
+	s.Int(&p.parallel, "parallel", 4, 1, 64, "number of runs at a time")
+	s.Duration(&p.length, "length", policysim.DefaultLength, 20*time.Second, time.Hour,
+		"length of a steady scenario in virtual time")
+	s.Bool(&p.json, "json", false, "print JSON instead of a table")
+	c.run = func(_ context.Context, std streams) int { return p.run(std) }
+	return c
+}
+
+func deploymentNames() []string {
+	var names []string
+	for _, d := range policysim.Deployments() {
+		names = append(names, d.Name)
+	}
+	return names
+}
+
+func scenarioNames() []string {
+	var names []string
+	for _, s := range policysim.Scenarios(policysim.DefaultLength) {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+func (p *policyCompare) plan() policysim.Plan {
+	plan := policysim.Plan{
+		Policies: policysim.Policies(), Entries: p.entries, Seed: uint64(p.seed), Runs: p.runs, Parallel: p.parallel,
+	}
+	for _, d := range policysim.Deployments() {
+		if p.deployment == all || p.deployment == d.Name {
+			plan.Deployments = append(plan.Deployments, d)
+		}
+	}
+	for _, s := range policysim.Scenarios(p.length) {
+		if p.scenario == all || p.scenario == s.Name {
+			plan.Scenarios = append(plan.Scenarios, s)
+		}
+	}
+	return plan
+}
+
+func (p *policyCompare) run(std streams) int {
+	rows, err := policysim.Compare(p.plan())
+	if err != nil {
+		fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
+		return ExitFailure
+	}
+	if p.json {
+		encoder := json.NewEncoder(std.out)
+		encoder.SetIndent("", "  ")
+		err = encoder.Encode(rows)
+	} else {
+		err = printRows(std.out, rows)
+	}
+	if err != nil {
+		fmt.Fprintf(std.err, "coltsfootspur: %v\n", err)
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+func printRows(w io.Writer, rows []policysim.Row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "deployment\tscenario\tpolicy\tjobs\tslowdown 50/99/99.9\tshort jobs 50/99/99.9\tsingle 99\t"+
+		"short wait 99 s\tbehind long 99 s\twasted\tin time\turgent\tgoodput/s\twork\tfailed\tcrest\trecovery s")
+	last := ""
+	for _, r := range rows {
+		if group := r.Deployment + r.Scenario; group != last && last != "" {
+			fmt.Fprintln(t)
+		}
+		last = r.Deployment + r.Scenario
+		f := r.Figures
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%.1f\t%.2f\t%.3f\t%.4f\t%.4f\t%.4f\t%.1f\t%.3f\t%.4f\t%.4f\t%.1f\n",
+			r.Deployment, r.Scenario, r.Policy, f.Jobs, quantileText(f.Slowdown), quantileText(f.ShortSlowdown),
+			f.SingleSlowdown.P99, f.ShortWait.P99, f.BehindLong.P99, f.Wasted, f.InTime, f.UrgentInTime, f.Goodput,
+			f.GoodWork, f.Failed, f.CrestInTime, f.Recovery)
+	}
+	return t.Flush()
+}
+
+func quantileText(q policysim.Quantiles) string {
+	return fmt.Sprintf("%.2f/%.1f/%.1f", q.P50, q.P99, q.P999)
+}
--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -2,5 +2,5 @@
 
 // subcommands returns every subcommand of the program.
 func subcommands() ([]*subcommand, []*group) {
-	return []*subcommand{}, []*group{}
+	return []*subcommand{newPolicyCompare()}, []*group{}
 }
--- /dev/null
+++ b/internal/dispatch/policysim/agent.go
@@ -0,0 +1,129 @@
+package policysim
+
+import (
+	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/dispatch"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// attempt is one attempt on its way or at an agent.
+type attempt struct {
+	entry    *entry
+	job      *jobRun
+	ref      dispatch.TaskRef
+	task     *taskSpec
+	long     bool // as the policy marked it
+	deadline time.Duration
+	arrived  time.Duration
+	begun    time.Duration
+	behind   time.Duration // time in the queue while a long task held a slot
+}
+
+// agent models an upstream with its agent: slots, a bounded queue in order of arrival, and a speed.
+type agent struct {
+	sim        *sim
+	index      int
+	id         string
+	dataCentre string
+	slots      int
+	longSlots  int
+	queueLimit int
+	speed      float64
+	failing    bool
+	running    []*attempt
+	queue      []*attempt
+}
+
+// failTime is the time after which a failing upstream answers.
+const failTime = 5 * time.Millisecond
+
+func (a *agent) load() dispatch.Load {
+	return dispatch.Load{
+		Running: uint16(len(a.running)), RunningLong: uint16(a.runningLong()), Queued: uint16(len(a.queue)),
+	}
+}
+
+func (a *agent) runningLong() int {
+	n := 0
+	for _, r := range a.running {
+		if r.long {
+			n++
+		}
+	}
+	return n
+}
+
+func (a *agent) room(long bool) bool {
+	return len(a.running) < a.slots && (!long || a.runningLong() < a.longSlots)
+}
+
+// receive handles a Start.
+func (a *agent) receive(at *attempt) {
+	at.arrived = a.sim.now
+	switch {
+	case a.room(at.long):
+		a.begin(at)
+	case len(a.queue) < a.queueLimit:
+		a.queue = append(a.queue, at)
+	default:
+		a.reply(at, dispatch.Result{State: dispatch.Refused, Reason: wire.RefusedBusy})
+	}
+}
+
+func (a *agent) begin(at *attempt) {
+	at.begun = a.sim.now
+	a.running = append(a.running, at)
+	service := time.Duration(float64(at.task.base) / a.speed)
+	if a.failing {
+		service = failTime
+	}
+	a.sim.after(service, func() { a.finish(at, service) })
+}
+
+func (a *agent) finish(at *attempt, service time.Duration) {
+	for i, r := range a.running {
+		if r == at {
+			a.running = append(a.running[:i], a.running[i+1:]...)
+			break
+		}
+	}
+	if service >= longTask {
+		a.blame(at.begun)
+	}
+	a.startQueued()
+	r := dispatch.Result{State: dispatch.Succeeded, Queued: at.begun - at.arrived, Service: service}
+	if a.failing {
+		r.State = dispatch.Failed
+	}
+	a.reply(at, r)
+}
+
+// blame charges the wait of queued short tasks to the long task that began at the given time.
+func (a *agent) blame(begun time.Duration) {
+	for _, q := range a.queue {
+		if q.task.short {
+			q.behind = max(q.behind, a.sim.now-max(begun, q.arrived))
+		}
+	}
+}
+
+func (a *agent) startQueued() {
+	kept := a.queue[:0]
+	for _, q := range a.queue {
+		switch {
+		case a.sim.now >= q.deadline:
+			a.reply(q, dispatch.Result{State: dispatch.Refused, Reason: wire.RefusedExpired})
+		case a.room(q.long):
+			a.begin(q)
+		default:
+			kept = append(kept, q)
+		}
+	}
+	a.queue = kept
+}
+
+func (a *agent) reply(at *attempt, r dispatch.Result) {
+	load := a.load()
+	a.sim.after(a.sim.delay(at.entry.dataCentre, a.dataCentre), func() { at.entry.result(a, at, r, load) })
+}
