--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -5,6 +5,7 @@
 	commands := []*subcommand{
 		entryCommand(),
 		agentCommand(),
+		policyCompareCommand(),
 	}
 	groups := []*group{
 		newGroup("stand-in", "stand-ins for outside systems, for tests and trials",
