Add the small deployment in one process

dev starts the stand-in store, entries, agents and stand-in upstreams of a deployment on loopback and can drive load. Upstreams share a ledger of starts, so that a task that began on two of them is found.

--- /dev/null
+++ b/internal/command/dev.go
@@ -0,0 +1,88 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/deployment"
+	"github.com/coltsfootspur/coltsfootspur/internal/devcluster"
+	"github.com/coltsfootspur/coltsfootspur/internal/loadgen"
+	"github.com/coltsfootspur/coltsfootspur/internal/settings"
+)
+
+// maxRunDuration bounds a run that drives load.
+const maxRunDuration = time.Hour
+
+// devSettings are the settings of the subcommand dev.
+type devSettings struct {
+	log        logSettings
+	deployment string
+	duration   time.Duration
+	seed       int
+	scale      float64
+	json       bool
+	verbose    bool
+}
+
+func (s *devSettings) register(set *settings.Set) {
+	set.String(&s.deployment, "deployment", "wax", "name of an embedded deployment (wax, mkeka) or path of a file", true)
+	set.Duration(&s.duration, "duration", 0, 0, maxRunDuration, "time for which load is driven; 0 stays up without load")
+	set.Int(&s.seed, "seed", 1, 0, 1<<31-1, "seed of the load")
+	set.Custom("scale", "1", "factor by which the demand of the deployment is multiplied", "number above 0, at most 1000", positive(&s.scale))
+	set.Bool(&s.json, "json", false, "print the result as one line of JSON")
+	set.Bool(&s.verbose, "verbose", false, "print the logs of all processes")
+	s.log.register(set)
+}
+
+func devCommand() *subcommand {
+	c := newSubcommand("dev", "run a small deployment in one process on loopback, with load or for trials")
+	s := &devSettings{}
+	s.register(c.settings)
+	c.run = s.run
+	return c
+}
+
+func (s *devSettings) run(ctx context.Context, std streams) int {
+	d, err := deployment.Load(s.deployment)
+	if err != nil {
+		return usageError(std, err)
+	}
+	options := devcluster.Options{Deployment: d}
+	if s.verbose {
+		options.Log = s.log.logger(std.err)
+	}
+	cluster, err := devcluster.Start(ctx, options)
+	if err != nil {
+		fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
+		return ExitFailure
+	}
+	defer cluster.Close()
+	if s.duration == 0 {
+		cluster.Describe(std.out)
+		<-ctx.Done()
+		return ExitOK
+	}
+	return s.drive(ctx, std, cluster, d)
+}
+
+// drive puts the load of the deployment on the cluster. The exit code is ExitOK only if no promise was broken.
+func (s *devSettings) drive(ctx context.Context, std streams, cluster *devcluster.Cluster, d *deployment.Deployment) int {
+	config, err := loadgen.FromDeployment(d, "")
+	if err != nil {
+		return usageError(std, err)
+	}
+	config.Entries = cluster.CallerURLs()
+	config.Duration, config.Seed, config.DemandScale = s.duration, uint64(s.seed), s.scale
+	config.ClientDelay = d.Network.ToClients
+	config.Starts, config.Waste = cluster, cluster
+	result, err := loadgen.Run(ctx, config)
+	if err != nil {
+		fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
+		return ExitFailure
+	}
+	result.Deployment = d.Name
+	return printResult(std, result, s.json)
+}
--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -5,6 +5,7 @@
 	commands := []*subcommand{
 		entryCommand(),
 		agentCommand(),
+		devCommand(),
 		policyCompareCommand(),
 	}
 	groups := []*group{
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -60,3 +60,6 @@
 		m.wasted.Add(1)
 	}
 }
+
+// Wasted returns the number of messages that did no useful work since the entry started.
+func (e *Entry) Wasted() uint64 { return uint64(e.control.metrics.wasted.Value()) }
--- a/internal/standin/upstream/ledger.go
+++ b/internal/standin/upstream/ledger.go
@@ -48,11 +48,39 @@
 	return id, true
 }
 
-// ledger counts. It is safe for concurrent use.
-type ledger struct {
+// Ledger counts how often each task began. Servers that share one also find a task that began on two of them. It is safe
+// for concurrent use.
+type Ledger struct {
+	mu     sync.Mutex
+	starts map[taskID]uint32
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{starts: make(map[taskID]uint32)} }
+
+// begin counts a start and returns how often the task began before; tracked is false when the table is full.
+func (l *Ledger) begin(id taskID) (before uint32, tracked bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before = l.starts[id]
+	if before == 0 && len(l.starts) >= maxTracked {
+		return 0, false
+	}
+	l.starts[id] = before + 1
+	return before, true
+}
+
+func (l *Ledger) count(id taskID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int(l.starts[id])
+}
+
+// tally counts what one server did. It is safe for concurrent use.
+type tally struct {
+	ledger   *Ledger
 	mu       sync.Mutex
 	counters Counters
-	starts   map[taskID]uint32
 }
 
 // ending is how a task ended.
@@ -66,10 +94,10 @@
 )
 
 // begin counts the start of a task and returns how often it has started, including this time; 0 when it is not known.
-func (l *ledger) begin(header string) uint32 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := &l.counters
+func (t *tally) begin(header string) uint32 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &t.counters
 	c.Starts++
 	c.Running++
 	c.MaxRunning = max(c.MaxRunning, c.Running)
@@ -78,39 +106,38 @@
 		c.Unlabelled++
 		return 0
 	}
-	before := l.starts[id]
-	if before == 0 && len(l.starts) >= maxTracked {
+	before, tracked := t.ledger.begin(id)
+	if !tracked {
 		c.Untracked++
 		return 0
 	}
 	if before > 0 {
 		c.DoubleStarts++
 	}
-	l.starts[id] = before + 1
 	return before + 1
 }
 
-func (l *ledger) end(how ending) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.counters.Running--
+func (t *tally) end(how ending) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counters.Running--
 	switch how {
 	case answered:
-		l.counters.Answered++
+		t.counters.Answered++
 	case failed:
-		l.counters.Failed++
+		t.counters.Failed++
 	case cancelled:
-		l.counters.Cancelled++
+		t.counters.Cancelled++
 	case reset:
-		l.counters.Reset++
+		t.counters.Reset++
 	}
 }
 
 // Counters returns what the server did so far.
 func (s *Server) Counters() Counters {
-	s.ledger.mu.Lock()
-	defer s.ledger.mu.Unlock()
-	return s.ledger.counters
+	s.tally.mu.Lock()
+	defer s.tally.mu.Unlock()
+	return s.tally.counters
 }
 
 // Starts returns how often the task of a Coltsfootspur-Task header began.
@@ -119,7 +146,5 @@
 	if !ok {
 		return 0
 	}
-	s.ledger.mu.Lock()
-	defer s.ledger.mu.Unlock()
-	return int(s.ledger.starts[id])
+	return s.tally.ledger.count(id)
 }
--- a/internal/standin/upstream/task.go
+++ b/internal/standin/upstream/task.go
@@ -76,22 +76,22 @@
 		return c.String(http.StatusRequestEntityTooLarge, "body is too large\n")
 	}
 	task := r.Header.Get(HeaderTask)
-	starts := s.ledger.begin(task)
+	starts := s.tally.begin(task)
 	faults := s.Faults()
 	if faults.Fail {
-		s.ledger.end(failed)
+		s.tally.end(failed)
 		return c.String(http.StatusInternalServerError, "failure on demand\n")
 	}
 	asked := readWish(r, body)
 	if !s.work(r.Context(), asked.WorkMillis, faults) {
-		s.ledger.end(cancelled)
+		s.tally.end(cancelled)
 		return r.Context().Err()
 	}
 	if faults.Reset {
-		s.ledger.end(reset)
+		s.tally.end(reset)
 		return resetConnection(c)
 	}
-	s.ledger.end(answered)
+	s.tally.end(answered)
 	return c.JSON(http.StatusOK, Answer{
 		Upstream: s.options.Name, Task: task, Attempt: r.Header.Get(HeaderAttempt),
 		Method: r.Method, Path: r.URL.RequestURI(), BodySHA256: digest(body), BodyBytes: len(body),
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -43,6 +43,8 @@
 	Factor float64
 	// Faults are in force from the beginning.
 	Faults Faults
+	// Ledger counts starts by task; servers of one deployment share one. nil means a ledger of its own.
+	Ledger *Ledger
 	// StopTimeout bounds the graceful stop; 0 means 75 s.
 	StopTimeout time.Duration
 }
@@ -53,7 +55,7 @@
 	url     string
 	echo    *echo.Echo
 	control *controlServer // nil when it is off
-	ledger  ledger
+	tally   tally
 	faults  atomic.Pointer[Faults]
 	stopped chan struct{} // closed when the graceful stop began
 	failed  chan error
@@ -78,7 +80,10 @@
 		return nil, err
 	}
 	s := &Server{options: options, address: options.Address, stopped: make(chan struct{}), failed: make(chan error, 1)}
-	s.ledger.starts = make(map[taskID]uint32)
+	s.tally.ledger = options.Ledger
+	if s.tally.ledger == nil {
+		s.tally.ledger = NewLedger()
+	}
 	s.faults.Store(&Faults{})
 	s.echo = echo.New()
 	s.echo.Any("/*", s.serveTask)
