--- /dev/null
+++ b/internal/devcluster/devcluster_test.go
@@ -0,0 +1,154 @@
+package devcluster_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/api"
+	"github.com/coltsfootspur/coltsfootspur/internal/deployment"
+	"github.com/coltsfootspur/coltsfootspur/internal/devcluster"
+)
+
+// client opens a connection for each request: a stopping server waits 5 s for spare connections that a client keeps.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func start(t *testing.T) *devcluster.Cluster {
+	t.Helper()
+	d, err := deployment.Load("wax")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := devcluster.Start(context.Background(), devcluster.Options{Deployment: d})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+type reply struct {
+	status int
+	answer *api.Answer
+}
+
+// submit sends a job and reads the whole answer.
+func submit(base, key string, works ...int) (reply, error) {
+	var tasks []map[string]any
+	for i, work := range works {
+		tasks = append(tasks, map[string]any{"body": map[string]any{"work_ms": work, "echo": fmt.Sprintf("%s/%d", key, i)}})
+	}
+	body, err := json.Marshal(map[string]any{"kind": "hot-wax", "deadline_ms": 8000, "tasks": tasks})
+	if err != nil {
+		return reply{}, err
+	}
+	request, err := http.NewRequest(http.MethodPost, base+"/v1/services/bench/jobs", bytes.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	if key != "" {
+		request.Header.Set(api.HeaderKey, key)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{}, err
+	}
+	defer response.Body.Close()
+	answer, err := api.DecodeAnswer(io.LimitReader(response.Body, api.MaxAnswer), api.MaxAnswer)
+	return reply{response.StatusCode, answer}, err
+}
+
+// Guards against a path that works in parts only, and against a resubmission at another entry that runs a task again.
+func TestResubmissionAtEveryEntryRunsOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := start(t)
+	key := uuid.Must(uuid.NewV7()).String()
+	var wait sync.WaitGroup
+	replies := make([]reply, 3*len(c.Entries))
+	errors := make([]error, len(replies))
+	for i := range replies {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			replies[i], errors[i] = submit(c.CallerURLs()[i%len(c.Entries)], key, 100, 50, 20)
+		}()
+	}
+	wait.Wait()
+	for i, r := range replies {
+		g.Expect(errors[i]).NotTo(gomega.HaveOccurred())
+		g.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		g.Expect(r.answer).To(gomega.Equal(replies[0].answer))
+	}
+	starts, err := c.Starts(context.Background())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(starts.Started).To(gomega.BeEquivalentTo(3))
+	g.Expect(starts.StartedTwice).To(gomega.BeZero())
+}
+
+// Guards against a planned stop that cuts a request or makes its outcome unknown, and against answers that are lost with
+// the entry that stored them.
+func TestRollingRestartOfEntriesUnderLoad(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := start(t)
+	urls := c.CallerURLs()
+	last := urls[len(urls)-1]
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	failures := []string{}
+	answers := map[string]*api.Answer{}
+	for range 8 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				key := uuid.Must(uuid.NewV7()).String()
+				r, err := submit(last, key, 30, 60)
+				mu.Lock()
+				if err != nil {
+					failures = append(failures, err.Error())
+				} else if r.status != http.StatusOK {
+					failures = append(failures, fmt.Sprintf("%d %s %s", r.status, r.answer.Reason, r.answer.Message))
+				} else {
+					answers[key] = r.answer
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, e := range c.Entries[:len(c.Entries)-1] {
+		e.Stop()
+		<-e.Ended
+		_, err := c.StartEntry(e.Options.ID, e.Options.DataCentre)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(300 * time.Millisecond)
+	}
+	close(stop)
+	wait.Wait()
+	g.Expect(failures).To(gomega.BeEmpty())
+	g.Expect(len(answers)).To(gomega.BeNumerically(">", 50))
+	for key, answer := range answers {
+		r, err := submit(last, key, 30, 60)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(r.answer).To(gomega.Equal(answer))
+	}
+	starts, err := c.Starts(context.Background())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(starts.Started).To(gomega.BeEquivalentTo(2 * len(answers)))
+	g.Expect(starts.StartedTwice).To(gomega.BeZero())
+}
