Add the subcommands for service documents

`service validate|put|get|list|history|watch|delete` with exit codes of their own for conflict, invalid document, unreachable store, not found and unclear outcome, as text or JSON.

The flag parser passes over unknown flags and surplus arguments, so a misspelt flag was silently ignored.

A switch that is not expanded ends the test run with the usage text.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -93,12 +93,17 @@
 		parser.AttachSubcommand(g.flags, 1)
 		commands = append(commands, g.members...)
 	}
+	args = expandSwitches(args, commands)
 	if err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintf(std.err, "coltsfootspur: %v\n", err)
 		return ExitUsage
 	}
 	for _, c := range commands {
 		if c.flags.Used {
+			if err := checkArguments(args, c.settings, parser.TrailingArguments); err != nil {
+				fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
+				return ExitUsage
+			}
 			return c.execute(ctx, std, lookup)
 		}
 	}
--- /dev/null
+++ b/internal/command/service.go
@@ -0,0 +1,119 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/document"
+	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+)
+
+// Exit codes of the group service, beside ExitOK, ExitFailure and ExitUsage. Scripts depend on them.
+const (
+	// ExitConflict: another edit came first; nothing was written.
+	ExitConflict = 3
+	// ExitInvalid: the document is invalid; nothing was written.
+	ExitInvalid = 4
+	// ExitUnreachable: the store did not answer; nothing was written.
+	ExitUnreachable = 5
+	// ExitNotFound: there is no document for the service, or no such revision.
+	ExitNotFound = 6
+	// ExitUnclear: the edit may have been accepted or may still take effect; the history tells.
+	ExitUnclear = 7
+)
+
+// Bounds of the time for a whole subcommand.
+const (
+	defaultServiceTimeout = 15 * time.Second
+	minServiceTimeout     = 100 * time.Millisecond
+	maxServiceTimeout     = 10 * time.Minute
+)
+
+// newServiceGroup returns the group of subcommands for service documents.
+func newServiceGroup() *group {
+	return newGroup("service", "checks, reads and changes service documents",
+		newServiceValidate(), newServicePut(), newServiceDelete(), newServiceGet(), newServiceList(),
+		newServiceHistory(), newServiceWatch())
+}
+
+// serviceCommand is what the subcommands for documents have in common.
+type serviceCommand struct {
+	*subcommand
+	argument string
+	json     bool
+	timeout  time.Duration
+	store    storeSettings
+}
+
+// newServiceCommand returns a subcommand with the setting json. Argument names its positional argument; empty for none.
+func newServiceCommand(name, description, argument string) *serviceCommand {
+	s := &serviceCommand{subcommand: newSubcommand(name, description)}
+	if argument != "" {
+		s.flags.AddPositionalValue(&s.argument, argument, 1, false, argument)
+	}
+	s.settings.Bool(&s.json, "json", false, "print JSON")
+	return s
+}
+
+// withStore adds the settings of the store.
+func (s *serviceCommand) withStore() *serviceCommand {
+	s.store.register(s.settings)
+	return s
+}
+
+// withTimeout adds the setting for the time of the whole subcommand.
+func (s *serviceCommand) withTimeout() *serviceCommand {
+	s.settings.Duration(&s.timeout, "timeout", defaultServiceTimeout, minServiceTimeout, maxServiceTimeout,
+		"longest time for the whole subcommand")
+	return s
+}
+
+// edit runs work with an editor under the timeout and returns the exit code.
+func (s *serviceCommand) edit(ctx context.Context, out *output, work func(ctx context.Context, e *document.Editor) error) int {
+	store, err := s.store.open()
+	if err != nil {
+		return out.fail(err)
+	}
+	defer store.Close()
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	if err := work(ctx, document.NewEditor(store, clock.System{})); err != nil {
+		return out.fail(err)
+	}
+	return ExitOK
+}
+
+// needArgument reports a missing positional argument.
+func (s *serviceCommand) needArgument(std streams, name string) bool {
+	if s.argument == "" {
+		fmt.Fprintf(std.err, "coltsfootspur: the argument %s is missing\n", name)
+		return false
+	}
+	return true
+}
+
+// failure is the class of an error: its exit code and its name in JSON.
+type failure struct {
+	exit int
+	code string
+}
+
+func classify(err error) failure {
+	switch {
+	case errors.Is(err, document.ErrConflict):
+		return failure{ExitConflict, "conflict"}
+	case errors.Is(err, document.ErrInvalid):
+		return failure{ExitInvalid, "invalid"}
+	case errors.Is(err, document.ErrUnreachable), errors.Is(err, platform.ErrUnavailable):
+		return failure{ExitUnreachable, "unreachable"}
+	case errors.Is(err, document.ErrNotFound):
+		return failure{ExitNotFound, "not_found"}
+	case errors.Is(err, document.ErrUnclear):
+		return failure{ExitUnclear, "unclear"}
+	default:
+		return failure{ExitFailure, "failure"}
+	}
+}
--- /dev/null
+++ b/internal/command/service_file.go
@@ -0,0 +1,32 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// readDocument reads a file up to one byte more than a document may have.
+func readDocument(name string) ([]byte, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return io.ReadAll(io.LimitReader(file, wire.MaxDocument+1))
+}
+
+// loadDocument reads the file of the positional argument. It returns ok false and the exit code after an error.
+func (s *serviceCommand) loadDocument(std streams) (body []byte, exit int, ok bool) {
+	if !s.needArgument(std, "file") {
+		return nil, ExitUsage, false
+	}
+	body, err := readDocument(s.argument)
+	if err != nil {
+		fmt.Fprintf(std.err, "coltsfootspur: the file cannot be read: %v\n", err)
+		return nil, ExitFailure, false
+	}
+	return body, ExitOK, true
+}
--- /dev/null
+++ b/internal/command/service_validate.go
@@ -0,0 +1,36 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/document"
+)
+
+// newServiceValidate returns the subcommand that checks a file without the store.
+func newServiceValidate() *subcommand {
+	s := newServiceCommand("validate", "checks the document in a file", "file")
+	s.run = s.validate
+	return s.subcommand
+}
+
+// validity is the result in JSON.
+type validity struct {
+	Valid   bool   `json:"valid"`
+	Service string `json:"service"`
+}
+
+func (s *serviceCommand) validate(_ context.Context, std streams) int {
+	out := &output{std: std, json: s.json}
+	body, exit, ok := s.loadDocument(std)
+	if !ok {
+		return exit
+	}
+	parsed, err := document.Parse(body)
+	if err != nil {
+		return out.fail(err)
+	}
+	return out.result(validity{Valid: true, Service: parsed.Name}, func() {
+		fmt.Fprintf(std.out, "document of %s is valid\n", parsed.Name)
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,7 @@
 type entry struct {
 	name, fallback, flag string
 	allowed              string
+	toggle               bool
 	assign               func(value string) error
 }
 
@@ -116,7 +117,7 @@
 	})
 }
 
-// Bool adds a switch. Its flag takes a value, as in --json=true or --json true.
+// Bool adds a switch. Its flag can stand alone, which means true, or take a value, as in --json=true or --json true.
 func (s *Set) Bool(target *bool, name string, fallback bool, usage string) {
 	s.Custom(name, strconv.FormatBool(fallback), usage, "true or false", func(value string) error {
 		b, err := strconv.ParseBool(value)
@@ -126,6 +127,17 @@
 		*target = b
 		return nil
 	})
+	s.entries[len(s.entries)-1].toggle = true
+}
+
+// Has reports whether the set has a setting of this name, and whether that is a switch.
+func (s *Set) Has(name string) (found, toggle bool) {
+	for _, e := range s.entries {
+		if e.name == name {
+			return true, e.toggle
+		}
+	}
+	return false, false
 }
 
 // Resolve assigns every setting. It returns ErrInvalid with a message that names the setting, its source and what is
