--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -10,7 +10,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/entry"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
 	"github.com/coltsfootspur/coltsfootspur/internal/settings"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
@@ -26,16 +25,6 @@
 	maxDelay          = 10 * time.Minute
 )
 
-// storeSettings are the settings of the platform's key-value service.
-type storeSettings struct{ options platform.Options }
-
-func (s *storeSettings) register(set *settings.Set) {
-	set.String(&s.options.Address, "store", "", "URL of the platform's key-value service", true)
-	set.String(&s.options.Token, "store-token", "", "access token of the key-value service", false)
-	set.Duration(&s.options.CallTimeout, "store-timeout", platform.DefaultCallTimeout, 50*time.Millisecond, time.Minute,
-		"longest wait for an answer of the key-value service")
-}
-
 // entrySettings are the settings of the entry role as they come from the command line.
 type entrySettings struct {
 	log     logSettings
@@ -87,7 +76,7 @@
 	logger := s.log.logger(std.err)
 	s.options.Log = logger
 	s.options.TableBytes = s.tableMB << 20
-	store, err := platform.NewConsul(s.store.options)
+	store, err := s.store.open()
 	if err != nil {
 		return usageError(std, err)
 	}
--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -9,6 +9,7 @@
 		policyCompareCommand(),
 	}
 	groups := []*group{
+		newServiceGroup(),
 		newGroup("stand-in", "stand-ins for outside systems, for tests and trials",
 			standinPlatformCommand(),
 			standinUpstreamCommand(),
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -317,20 +317,20 @@
 	fmt.Fprintf(w, "  coltsfootspur service get --store %s --service %s\n", c.Store.URL(), service.Name)
 }
 
-// Close stops all processes: entries and agents gracefully, then the upstreams and the store.
+// Close stops all processes: the agents first, so that they deliver their results, then entries, upstreams and store.
 func (c *Cluster) Close() {
-	for _, e := range c.Entries {
-		e.Stop()
-	}
-	for _, e := range c.Entries {
-		<-e.Ended
-	}
 	for _, a := range c.Agents {
 		a.Stop()
 	}
 	for _, a := range c.Agents {
 		<-a.Ended
 	}
+	for _, e := range c.Entries {
+		e.Stop()
+	}
+	for _, e := range c.Entries {
+		<-e.Ended
+	}
 	c.stop()
 	c.running.Wait()
 	if c.Store != nil {
