Refuse unknown arguments and add load, status and dump

Arguments are now checked before the library sees them, so an unknown flag, a stray argument, a missing value or a repeated flag ends with exit code 2 and a message, and os.Exit is not called by the library. Its own check for unexpected arguments was ruled out, because it prints to the standard streams and exits.

Help is rendered from the settings, with allowed values, default and environment variable of each flag. An empty flag now wins over the environment; before, it was taken for a missing flag.

After the first SIGINT or SIGTERM the default action is restored, so that a second one ends the process at once.

load runs the load generator, prints its result as JSON and fails when a promise was broken. status and dump read the operator endpoints. status keeps numbers as text, because a float64 rounds incarnations.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -20,6 +20,9 @@
 // Version is the version of the program.
 const Version = "0.1.0"
 
+// programName begins each message of the program itself.
+const programName = "coltsfootspur"
+
 // Exit codes shared by all subcommands. Subcommands define others for results of their own.
 const (
 	ExitOK      = 0
@@ -75,17 +78,50 @@
 
 // Main runs the program and returns its exit code.
 func Main(args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := stopContext(context.Background())
 	defer stop()
-	return run(ctx, args, streams{in: os.Stdin, out: os.Stdout, err: os.Stderr}, os.LookupEnv)
+	commands, groups := subcommands()
+	std := streams{in: os.Stdin, out: os.Stdout, err: os.Stderr}
+	return run(ctx, args, std, os.LookupEnv, commands, groups)
+}
+
+// stopContext returns a context that ends with the first SIGINT or SIGTERM. A second one ends the process at once.
+func stopContext(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(parent, syscall.SIGINT, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
+	return ctx, stop
 }
 
-func run(ctx context.Context, args []string, std streams, lookup func(string) (string, bool)) int {
-	parser := flaggy.NewParser("coltsfootspur")
+func run(ctx context.Context, args []string, std streams, lookup func(string) (string, bool),
+	commands []*subcommand, groups []*group,
+) int {
+	parser, commands := newParser(commands, groups)
+	if len(args) > 0 && args[0] == completionName {
+		return completion(parser, args[1:], std)
+	}
+	selected, err := checkArguments(&parser.Subcommand, args)
+	if err != nil {
+		return reportUsage(std, selected, err)
+	}
+	command := commandOf(commands, selected)
+	if selected.help || selected.version {
+		return inform(std, selected, command)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		return reportUsage(std, selected, eris.Wrap(errUsage, err.Error()))
+	}
+	return command.execute(ctx, std, lookup)
+}
+
+// newParser returns a parser that never ends the process itself, and all subcommands including those of groups.
+func newParser(commands []*subcommand, groups []*group) (*flaggy.Parser, []*subcommand) {
+	parser := flaggy.NewParser(programName)
 	parser.Description = "dispatcher for tasks of less than a second"
 	parser.Version = Version
 	parser.ShowHelpOnUnexpected = false
-	commands, groups := subcommands()
+	parser.ShowHelpWithHFlag = false
+	parser.ShowVersionWithVersionFlag = false
+	parser.ShowCompletion = false
 	for _, c := range commands {
 		parser.AttachSubcommand(c.flags, 1)
 	}
@@ -93,23 +129,50 @@
 		parser.AttachSubcommand(g.flags, 1)
 		commands = append(commands, g.members...)
 	}
-	if err := parser.ParseArgs(args); err != nil {
-		fmt.Fprintf(std.err, "coltsfootspur: %v\n", err)
-		return ExitUsage
-	}
+	return parser, commands
+}
+
+func commandOf(commands []*subcommand, selected *selection) *subcommand {
 	for _, c := range commands {
-		if c.flags.Used {
-			return c.execute(ctx, std, lookup)
+		if c.flags == selected.last() {
+			return c
 		}
 	}
-	parser.ShowHelp()
-	return ExitUsage
+	return nil
+}
+
+// inform shows the help or the version.
+func inform(std streams, selected *selection, command *subcommand) int {
+	if !selected.help {
+		fmt.Fprintln(std.out, Version)
+		return ExitOK
+	}
+	var described []settings.Description
+	if command != nil {
+		described = command.settings.Describe()
+	}
+	if err := writeHelp(std.out, selected, described); err != nil {
+		return reportError(std, err, ExitFailure)
+	}
+	return ExitOK
+}
+
+// reportUsage reports a command line that is not understood and where help is found.
+func reportUsage(std streams, selected *selection, err error) int {
+	code := reportError(std, err, ExitUsage)
+	fmt.Fprintf(std.err, "Run %q for help.\n", selected.name()+" --help")
+	return code
+}
+
+// reportError reports an error and returns the exit code.
+func reportError(std streams, err error, code int) int {
+	fmt.Fprintf(std.err, "%s: %s\n", programName, eris.ToString(err, false))
+	return code
 }
 
 func (c *subcommand) execute(ctx context.Context, std streams, lookup func(string) (string, bool)) int {
 	if err := c.settings.Resolve(lookup); err != nil {
-		fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
-		return ExitUsage
+		return reportError(std, err, ExitUsage)
 	}
 	return c.run(ctx, std)
 }
--- /dev/null
+++ b/internal/command/load.go
@@ -0,0 +1,153 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/deployment"
+	"github.com/coltsfootspur/coltsfootspur/internal/loadgen"
+	"github.com/coltsfootspur/coltsfootspur/internal/settings"
+)
+
+// Bounds of the settings of a load.
+const (
+	maxLoadDuration = 24 * time.Hour
+	maxLoadDelay    = 10 * time.Second
+	maxDemandScale  = 100
+	maxInFlight     = 1 << 17
+	maxConnections  = 1 << 15
+)
+
+// loadSettings are the settings of the load generator as they come from the command line.
+type loadSettings struct {
+	log                                       logSettings
+	deployment, service, adminToken           string
+	entries, upstreams, processes, wasteNames []string
+	seed                                      int
+	config                                    loadgen.Config
+}
+
+func (s *loadSettings) register(set *settings.Set) {
+	c := &s.config
+	set.String(&s.deployment, "deployment", "wax", "name of an embedded deployment, or a deployment file", true)
+	set.String(&s.service, "service", "", "service under load; the first one of the deployment if empty", false)
+	set.List(&s.entries, "entries", "127.0.0.1:8080", "host:port addresses or URLs of the entries for callers")
+	set.String(&c.Token, "caller-token", "", "bearer token of callers", false)
+	set.Duration(&c.Duration, "duration", time.Minute, time.Second, maxLoadDuration, "time in which jobs arrive")
+	set.Duration(&c.Grace, "grace", loadgen.DefaultGrace, 100*time.Millisecond, time.Minute,
+		"how long after its deadline a job waits for an answer before it counts as lost")
+	set.Int(&s.seed, "seed", 1, 0, math.MaxInt, "seed of arrivals, sizes, run times, resubmissions and cancellations; without unit")
+	set.Custom("demand", "1", "factor by which the demand of the deployment is multiplied",
+		fmt.Sprintf("number above 0, at most %d", maxDemandScale), s.parseDemand)
+	set.Duration(&c.ClientDelay, "client-delay", 0, 0, maxLoadDelay,
+		"one-way delay to callers that the network does not have itself; added to response times and ideals")
+	set.Duration(&c.RoundTrip, "round-trip", 0, 0, maxLoadDelay, "round trips of the ideal path in the network; added to ideals")
+	set.Int(&c.MaxInFlight, "max-in-flight", loadgen.DefaultMaxInFlight, 1, maxInFlight, "most jobs in flight; arrivals past it are not sent")
+	set.Int(&c.MaxConnections, "max-connections", loadgen.DefaultMaxConnections, 1, maxConnections, "most connections to all entries together")
+	set.List(&s.upstreams, "upstreams", "", "control addresses of the stand-in upstreams, whose counters tell what was started")
+	set.List(&s.processes, "processes", "", "operator addresses of the processes, whose metrics tell the wasted messages")
+	set.String(&s.adminToken, "admin-token", "", "bearer token of the operator endpoints", false)
+	set.List(&s.wasteNames, "wasted-metrics", "entry.wasted_messages", "metrics of wasted messages; each process has one of them")
+	s.log.register(set)
+}
+
+func (s *loadSettings) parseDemand(value string) error {
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(n > 0 && n <= maxDemandScale) {
+		return eris.New("is out of range")
+	}
+	s.config.DemandScale = n
+	return nil
+}
+
+// build returns the configuration of the run.
+func (s *loadSettings) build() (loadgen.Config, error) {
+	d, err := deployment.Load(s.deployment)
+	if err != nil {
+		return loadgen.Config{}, err
+	}
+	base, err := loadgen.FromDeployment(d, s.service)
+	if err != nil {
+		return loadgen.Config{}, err
+	}
+	c := s.config
+	c.Service, c.Capacity, c.FastestFactor = base.Service, base.Capacity, base.FastestFactor
+	c.Seed = uint64(s.seed)
+	c.Entries = urls(s.entries, "")
+	if len(s.upstreams) > 0 {
+		c.Starts = &loadgen.HTTPStarts{URLs: urls(s.upstreams, "/counters")}
+	}
+	if len(s.processes) > 0 {
+		c.Waste = &loadgen.HTTPWaste{URLs: urls(s.processes, "/debug/vars"), Token: s.adminToken, Paths: s.wasteNames}
+	}
+	return c, nil
+}
+
+// urls returns the URL of a path at each address. An address is host:port or a URL.
+func urls(addresses []string, path string) []string {
+	list := make([]string, len(addresses))
+	for i, address := range addresses {
+		list[i] = baseURL(address) + path
+	}
+	return list
+}
+
+func baseURL(address string) string {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	return strings.TrimSuffix(address, "/")
+}
+
+func loadCommand() *subcommand {
+	c := newSubcommand("load", "put load on running entries, check every answer and print the measures as JSON")
+	s := &loadSettings{}
+	s.register(c.settings)
+	c.run = s.run
+	return c
+}
+
+func (s *loadSettings) run(ctx context.Context, std streams) int {
+	config, err := s.build()
+	if err != nil {
+		return reportError(std, err, ExitUsage)
+	}
+	logger := s.log.logger(std.err)
+	logger.WithFields(log.Fields{"entries": len(config.Entries), "duration": config.Duration, "seed": config.Seed}).Info("load: started")
+	result, runErr := loadgen.Run(ctx, config)
+	if result == nil {
+		code := ExitFailure
+		if eris.Is(runErr, loadgen.ErrConfig) {
+			code = ExitUsage
+		}
+		return reportError(std, runErr, code)
+	}
+	result.Deployment = s.deployment
+	encoder := json.NewEncoder(std.out)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(result); err != nil {
+		return reportError(std, eris.Wrap(err, "write the result"), ExitFailure)
+	}
+	return s.verdict(std, logger, result, runErr)
+}
+
+// verdict returns ExitFailure when a counter could not be read or a promise was broken.
+func (s *loadSettings) verdict(std streams, logger log.Interface, result *loadgen.Result, runErr error) int {
+	code := ExitOK
+	if runErr != nil {
+		code = reportError(std, runErr, ExitFailure)
+	}
+	for _, violation := range result.Violations() {
+		logger.WithField("seed", result.Seed).Error("load: " + violation)
+		code = ExitFailure
+	}
+	return code
+}
--- /dev/null
+++ b/internal/command/operator.go
@@ -0,0 +1,78 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/settings"
+)
+
+// maxOperatorBytes bounds what is read from an operator endpoint.
+const maxOperatorBytes = 256 << 20
+
+// errOperator is returned when an operator endpoint cannot be read.
+var errOperator = eris.New("operator endpoint cannot be read")
+
+// operator reads the operator endpoints of one process.
+type operator struct {
+	address, token string
+	timeout        time.Duration
+}
+
+func (o *operator) register(set *settings.Set) {
+	set.String(&o.address, "admin-address", "", "host:port or URL of the operator endpoints of the process", true)
+	set.String(&o.token, "admin-token", "", "bearer token of the operator endpoints", false)
+	set.Duration(&o.timeout, "timeout", 5*time.Second, 10*time.Millisecond, time.Minute, "longest wait for each answer")
+}
+
+// get returns the status and the body of an endpoint. It returns errOperator when there is no whole answer.
+func (o *operator) get(ctx context.Context, path string) (status int, body []byte, err error) {
+	ctx, release := context.WithTimeout(ctx, o.timeout)
+	defer release()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, baseURL(o.address)+path, nil)
+	if err != nil {
+		return 0, nil, eris.Wrap(errOperator, err.Error())
+	}
+	if o.token != "" {
+		request.Header.Set("Authorization", "Bearer "+o.token)
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, nil, eris.Wrap(errOperator, err.Error())
+	}
+	defer response.Body.Close()
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxOperatorBytes+1))
+	if err != nil {
+		return 0, nil, eris.Wrap(errOperator, err.Error())
+	}
+	if len(body) > maxOperatorBytes {
+		return 0, nil, eris.Wrapf(errOperator, "%s is larger than %d bytes", path, maxOperatorBytes)
+	}
+	return response.StatusCode, body, nil
+}
+
+// document returns the JSON object of an endpoint. It returns errOperator.
+func (o *operator) document(ctx context.Context, path string) (map[string]any, error) {
+	status, body, err := o.get(ctx, path)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, eris.Wrapf(errOperator, "%s answered with status %d: %.200s", path, status, body)
+	}
+	// Incarnations use all 64 bits, which a float64 would round.
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.UseNumber()
+	var document map[string]any
+	if err := decoder.Decode(&document); err != nil {
+		return nil, eris.Wrapf(errOperator, "%s: %v", path, err)
+	}
+	return document, nil
+}
--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -2,5 +2,11 @@
 
 // subcommands returns every subcommand of the program.
 func subcommands() ([]*subcommand, []*group) {
-	return []*subcommand{}, []*group{}
+	commands := []*subcommand{
+		loadCommand(),
+		statusCommand(),
+		dumpCommand(),
+	}
+	groups := []*group{}
+	return commands, groups
 }
--- /dev/null
+++ b/internal/command/tools_test.go
@@ -0,0 +1,132 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/api"
+	"github.com/coltsfootspur/coltsfootspur/internal/loadgen"
+)
+
+func tool(args ...string) (code int, out, errors string) {
+	var stdout, stderr bytes.Buffer
+	commands, groups := subcommands()
+	none := func(string) (string, bool) { return "", false }
+	code = run(context.Background(), args, streams{out: &stdout, err: &stderr}, none, commands, groups)
+	return code, stdout.String(), stderr.String()
+}
+
+// fakeProcess serves operator endpoints.
+func fakeProcess(t *testing.T, ready int) *httptest.Server {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(ready)
+		_, _ = w.Write([]byte("leaving the list\n"))
+	})
+	guarded := func(body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Authorization") != "Bearer secret" {
+				w.WriteHeader(http.StatusUnauthorized)
+				return
+			}
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	mux.HandleFunc("/dump", guarded(`{"id":"entry-1","incarnation":12345678901234567891,"list":{"version":5,"members":[1,2,3]},"title":"a\u001b[2J","none":null}`))
+	mux.HandleFunc("/debug/vars", guarded(`{"cmdline":["x"],"memstats":{"Alloc":1},"entry":{"starts":7,"refusals":{"busy":3,"down":1}}}`))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// Guards against a summary that leaves out state, changes numbers, or passes control characters to the terminal.
+func TestStatus(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := fakeProcess(t, http.StatusOK)
+	code, out, errors := tool("status", "--admin-address", strings.TrimPrefix(server.URL, "http://"), "--admin-token", "secret")
+	g.Expect(errors).To(gomega.BeEmpty())
+	g.Expect(code).To(gomega.Equal(ExitOK))
+	for _, part := range []string{
+		"takes work", "yes", "entry-1", "12345678901234567891", "members=3 items version=5", "metrics of the entry", "busy=3 down=1", `a\x1b[2J`,
+	} {
+		g.Expect(out).To(gomega.ContainSubstring(part))
+	}
+	g.Expect(out).NotTo(gomega.ContainSubstring("memstats"))
+
+	code, out, _ = tool("status", "--admin-address", fakeProcess(t, http.StatusServiceUnavailable).URL, "--admin-token", "secret")
+	g.Expect(code).To(gomega.Equal(ExitNotReady))
+	g.Expect(out).To(gomega.ContainSubstring("no: leaving the list"))
+}
+
+// Guards against a tool that reports success although the process cannot be read.
+func TestOperatorToolsReportFailure(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := fakeProcess(t, http.StatusOK)
+	for _, name := range []string{"status", "dump"} {
+		code, out, errors := tool(name, "--admin-address", server.URL, "--admin-token", "wrong")
+		g.Expect(code).To(gomega.Equal(ExitFailure))
+		g.Expect(errors).To(gomega.ContainSubstring("status 401"))
+		g.Expect(out).To(gomega.BeEmpty())
+		code, _, errors = tool(name, "--admin-address", "127.0.0.1:1")
+		g.Expect(code).To(gomega.Equal(ExitFailure))
+		g.Expect(errors).To(gomega.ContainSubstring("cannot be read"))
+		code, _, _ = tool(name)
+		g.Expect(code).To(gomega.Equal(ExitUsage))
+	}
+}
+
+// Guards against a dump whose numbers lose digits on the way.
+func TestDump(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := fakeProcess(t, http.StatusOK)
+	code, out, _ := tool("dump", "--admin-address", server.URL+"/", "--admin-token", "secret")
+	g.Expect(code).To(gomega.Equal(ExitOK))
+	g.Expect(json.Valid([]byte(out))).To(gomega.BeTrue())
+	g.Expect(out).To(gomega.ContainSubstring(`"incarnation": 12345678901234567891`))
+}
+
+// Guards against a load whose violations do not show in the exit code, and against a result that is not JSON.
+func TestLoad(t *testing.T) {
+	g := gomega.NewWithT(t)
+	broken := false
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if broken {
+			_, _ = w.Write([]byte(`{"outcome":"complete","tasks":[]}`))
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = api.Encode(w, &api.Answer{Outcome: api.OutcomeNotRun, Reason: "overloaded"})
+	}))
+	defer entry.Close()
+	load := func() (int, loadgen.Result, string) {
+		code, out, errors := tool("load", "--entries", entry.URL, "--duration", "1s", "--deployment", "mkeka", "--grace", "100ms")
+		var result loadgen.Result
+		g.Expect(json.Unmarshal([]byte(out), &result)).To(gomega.Succeed(), errors)
+		return code, result, errors
+	}
+	code, result, _ := load()
+	g.Expect(code).To(gomega.Equal(ExitOK))
+	g.Expect(result.FailedNotRun).To(gomega.And(gomega.Equal(result.Jobs), gomega.BeNumerically(">", 0)))
+	g.Expect(result.Deployment).To(gomega.Equal("mkeka"))
+	broken = true
+	code, result, errors := load()
+	g.Expect(code).To(gomega.Equal(ExitFailure))
+	g.Expect(result.Partial).To(gomega.Equal(result.Jobs))
+	g.Expect(errors).To(gomega.ContainSubstring("load: "))
+
+	for _, args := range [][]string{{"--deployment", "none"}, {"--service", "none"}, {"--entries", "ftp://x"}, {"--demand", "0"}, {"--demand", "NaN"}} {
+		code, _, _ := tool(append([]string{"load"}, args...)...)
+		g.Expect(code).To(gomega.Equal(ExitUsage), strings.Join(args, " "))
+	}
+	code, _, errors = tool("load", "--entries", entry.URL, "--upstreams", entry.URL)
+	g.Expect(code).To(gomega.Equal(ExitFailure))
+	g.Expect(errors).To(gomega.ContainSubstring("counters cannot be read"))
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,10 +25,23 @@
 
 type entry struct {
 	name, fallback, flag string
-	allowed              string
+	usage, allowed       string
 	assign               func(value string) error
 }
 
+// notGiven is the value of a flag that was not given. No argument of a process can hold this byte, so an empty value is
+// told apart from a missing flag.
+const notGiven = "\x00"
+
+// Description describes a setting for people.
+type Description struct {
+	Name, Usage string
+	// Allowed tells which values are allowed, with their unit.
+	Allowed     string
+	Environment string
+	Default     string
+}
+
 // NewSet returns an empty set whose flags belong to the subcommand.
 func NewSet(sub *flaggy.Subcommand) *Set { return &Set{sub: sub} }
 
@@ -40,7 +53,7 @@
 // Custom adds a setting whose value assign parses and stores. An error of assign makes the value invalid; allowed
 // describes what assign accepts.
 func (s *Set) Custom(name, fallback, usage, allowed string, assign func(value string) error) {
-	e := &entry{name: name, fallback: fallback, allowed: allowed, assign: assign}
+	e := &entry{name: name, fallback: fallback, flag: notGiven, usage: usage, allowed: allowed, assign: assign}
 	s.entries = append(s.entries, e)
 	description := fmt.Sprintf("%s (%s; environment %s", usage, allowed, EnvName(name))
 	if fallback != "" {
@@ -128,6 +141,17 @@
 	})
 }
 
+// Describe returns every setting in the order of its registration.
+func (s *Set) Describe() []Description {
+	list := make([]Description, len(s.entries))
+	for i, e := range s.entries {
+		list[i] = Description{
+			Name: e.name, Usage: e.usage, Allowed: e.allowed, Environment: EnvName(e.name), Default: e.fallback,
+		}
+	}
+	return list
+}
+
 // Resolve assigns every setting. It returns ErrInvalid with a message that names the setting, its source and what is
 // allowed. lookup reads an environment variable, as os.LookupEnv does.
 func (s *Set) Resolve(lookup func(string) (string, bool)) error {
@@ -136,7 +160,7 @@
 		if fromEnv, ok := lookup(EnvName(e.name)); ok {
 			value, source = fromEnv, "environment variable "+EnvName(e.name)
 		}
-		if e.flag != "" {
+		if e.flag != notGiven {
 			value, source = e.flag, "flag --"+e.name
 		}
 		if err := e.assign(value); err != nil {
