--- a/internal/command/result.go
+++ b/internal/command/result.go
@@ -3,9 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strconv"
-
-	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/loadgen"
 )
@@ -33,18 +30,3 @@
 	}
 	return ExitOK
 }
-
-// maxScale bounds factors of the load.
-const maxScale = 1000
-
-// positive parses a number above 0.
-func positive(target *float64) func(string) error {
-	return func(value string) error {
-		n, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(n > 0 && n <= maxScale) {
-			return eris.New("is out of range")
-		}
-		*target = n
-		return nil
-	}
-}
--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -6,6 +6,9 @@
 		entryCommand(),
 		agentCommand(),
 		devCommand(),
+		loadCommand(),
+		statusCommand(),
+		dumpCommand(),
 		policyCompareCommand(),
 	}
 	groups := []*group{
--- a/internal/command/args.go
+++ b/internal/command/switches.go
@@ -1,15 +1,6 @@
 package command
 
-import (
-	"strings"
-
-	"github.com/rotisserie/eris"
-
-	"github.com/coltsfootspur/coltsfootspur/internal/settings"
-)
-
-// errArguments is returned for arguments that no setting of the subcommand accepts.
-var errArguments = eris.New("invalid arguments")
+import "strings"
 
 // endOfFlags ends the flags of a command line.
 const endOfFlags = "--"
@@ -44,24 +35,3 @@
 }
 
 func hasValue(rest []string) bool { return len(rest) > 0 && (rest[0] == "true" || rest[0] == "false") }
-
-// checkArguments refuses flags and arguments that the flag parser passes over. A misspelt flag must not be ignored,
-// because it may be the one that keeps an edit from overwriting another.
-func checkArguments(args []string, set *settings.Set, trailing []string) error {
-	if len(trailing) > 0 {
-		return eris.Wrapf(errArguments, "unexpected %q", trailing[0])
-	}
-	for i := 0; i < len(args); i++ {
-		if !strings.HasPrefix(args[i], "-") {
-			continue
-		}
-		name, _, assigned := strings.Cut(strings.TrimLeft(args[i], "-"), "=")
-		if found, _ := set.Has(name); !found {
-			return eris.Wrapf(errArguments, "unknown flag %s", args[i])
-		}
-		if !assigned {
-			i++ // the next argument is the value
-		}
-	}
-	return nil
-}
