Bound the wait for a faster upstream and keep the state of a standing queue

A task could wait for an upstream that had left when only a much slower one remained. It now takes the slow one after three times the expected completion there, and the usual time of a kind comes from the upstreams that are present.

A queue stops to count as standing only after a whole window below the limit.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -63,7 +63,7 @@
 			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
 				s := newBench(gomega.NewWithT(b), name, n, 0.7)
 				e := s.p.(*engine)
-				t := &task{job: &job{kind: e.kindOf("k"), class: classNormal, waiting: 1}}
+				t := &task{job: &job{kind: e.kindOf("k", 0), class: classNormal, waiting: 1}}
 				at := e.at(s.now)
 				b.ReportAllocs()
 				for b.Loop() {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -43,6 +43,8 @@
 	// 1, but then the task at the head takes the slow upstream for the good of those behind it. Trials with one upstream
 	// ten times slower gave a p99 slowdown of 13 with 1 and of 7 to 10 with 0.25.
 	queueShare = 0.25
+	// patience times the expected completion there is the wait after which a task takes a slow upstream all the same.
+	patience = 3
 	// queueReach is the number of round trips within which a slot has to become free for a task to be queued at the
 	// agent.
 	queueReach = 4
@@ -57,21 +59,20 @@
 	if u.barred(now) || u.restUntil > now || u.own() >= u.Slots+e.config.Queue {
 		return false, false
 	}
-	load := float64(u.own()) + u.otherLoad(now, e.memory(u))
+	load := float64(u.own()) + u.otherLoad(now, e.memory())
 	slots := float64(u.Slots)
 	return load <= slots-1, load < slots+float64(e.config.Queue)
 }
 
 // loadMemory times the learned service time is the time in which a report of the load loses half its value.
-const loadMemory = 0.5
+const (
+	loadMemory = 0.5
+	minMemory  = instant(10 * time.Millisecond)
+)
 
-// memory returns the time constant of the foreign load of an upstream.
-func (e *engine) memory(u *upstream) instant {
-	m := coldService
-	if len(e.kindList) > 0 {
-		m = e.kindList[0].times.median()
-	}
-	return max(instant(loadMemory*float64(m)), instant(10*time.Millisecond))
+// memory returns the time constant of the foreign load.
+func (e *engine) memory() instant {
+	return max(instant(loadMemory*float64(e.mix.median)), minMemory)
 }
 
 func (c *expectedChooser) choose(e *engine, now instant, t *task) (*upstream, outcome) {
@@ -130,11 +131,11 @@
 // cost returns the expected completion of a task of a kind at an upstream, divided by its success rate. It returns
 // false when the upstream has no room for the kind.
 func (e *engine) cost(now instant, k *kind, u *upstream) (float64, bool) {
-	if u.own() > 0 && e.untrusted(now, k, u) {
+	if u.own() >= u.Slots+e.config.Queue || u.own() > 0 && e.untrusted(now, k, u) {
 		return 0, false
 	}
 	rate := e.successOf(now, k, u)
-	foreign := u.otherLoad(now, e.memory(u))
+	foreign := u.otherLoad(now, e.memory())
 	if e.isLong(k) && !e.roomForLong(now, u) {
 		return 0, false
 	}
@@ -142,7 +143,7 @@
 	load := float64(u.own()) + foreign
 	wait := 0.0
 	over := load + 1 - float64(u.Slots)
-	if expected := overflow(over, u.uncertainty(now, e.memory(u))); expected > 0 {
+	if expected := overflow(over, u.uncertainty(now, e.memory())); expected > 0 {
 		free := float64(e.nextFree(now, u))
 		if over >= 1 && free > queueReach*float64(u.roundTrip) {
 			return 0, false
@@ -184,12 +185,7 @@
 		hazard += 1 / float64(max(e.service(a.task.job.kind, u), now-a.at))
 	}
 	others := max(float64(u.Slots-len(u.attempts)), 0)
-	if others > 0 && len(e.kindList) > 0 {
-		hazard += others / float64(e.service(e.kindList[0], u))
-	}
-	if hazard == 0 {
-		return 0
-	}
+	hazard += others / float64(e.service(e.mix, u))
 	return instant(1 / hazard)
 }
 
@@ -243,12 +239,36 @@
 	return e.successOf(now, k, u) < untrustedSuccess
 }
 
+// usualInterval is the time for which the usual time of a kind is valid.
+const usualInterval = instant(50 * time.Millisecond)
+
+// usual returns the expected time of a kind over the slots of the pool, without upstreams that are not trusted.
+func (e *engine) usual(now instant, k *kind) instant {
+	if k.usualAt > 0 && now-k.usualAt < usualInterval {
+		return k.usual
+	}
+	rate, slots := 0.0, 0.0
+	for _, u := range k.pool.ups {
+		if u.ejection.ejected || e.untrusted(now, k, u) {
+			continue
+		}
+		rate += float64(u.Slots) / float64(e.service(k, u))
+		slots += float64(u.Slots)
+	}
+	k.usual, k.usualAt = k.mean, max(now, 1)
+	if rate > 0 {
+		k.usual = instant(slots / rate)
+	}
+	return k.usual
+}
+
 // worthwhile tells whether a task should take the best upstream with room. When that is much slower than the others
-// or likely to fail, waiting for another one is better as long as few tasks wait.
+// or likely to fail, waiting for another one is better as long as few tasks wait. No task waits without end, so that
+// work goes on when the others do not come back.
 func (e *engine) worthwhile(now instant, t *task, cost float64) bool {
 	p := t.job.kind.pool
-	usual := float64(t.job.kind.times.mean())
-	if cost <= 2*usual {
+	usual := float64(e.usual(now, t.job.kind))
+	if cost <= 2*usual || now-t.since >= instant(patience*cost) {
 		return true
 	}
 	rate := p.rate(e, now)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -39,7 +39,8 @@
 	starts    uint8 // attempts that started and are over
 	running   uint8 // open attempts
 	hedged    bool
-	entry     uint64 // sequence number of its live queue item, 0 for none
+	since     instant // time from which it waits
+	entry     uint64  // sequence number of its live queue item, 0 for none
 	avoid     [2]avoidance
 }
 
@@ -80,6 +81,20 @@
 	blocked [classes]uint64 // pass in which the queue was found blocked
 	// generation changes when the learned times have changed enough to compute estimates again.
 	generation uint64
+	// mean and median are those of times as of the generation.
+	mean, median instant
+	// usual is the expected time at the upstreams of the pool that can be trusted, as of usualAt.
+	usual, usualAt instant
+}
+
+func newKind(name string, index int) *kind {
+	return &kind{name: name, index: index, mean: coldService, median: coldService}
+}
+
+// refresh computes what depends on the learned times again.
+func (k *kind) refresh() {
+	k.generation++
+	k.mean, k.median = k.times.mean(), k.times.median()
 }
 
 // team holds the retry budget of one team.
@@ -87,16 +102,18 @@
 
 // engine implements Policy; the chooser makes the difference between the policies.
 type engine struct {
-	base        time.Time
-	dataCentre  string
-	random      *rand.Rand
-	chooser     chooser
-	config      Config
-	namedKinds  bool // some upstream names its kinds
-	upstreams   map[string]*upstream
-	active      []*upstream
-	kinds       map[string]*kind
-	kindList    []*kind
+	base       time.Time
+	dataCentre string
+	random     *rand.Rand
+	chooser    chooser
+	config     Config
+	namedKinds bool // some upstream names its kinds
+	upstreams  map[string]*upstream
+	active     []*upstream
+	kinds      map[string]*kind
+	kindList   []*kind
+	// mix stands for all kinds together. Its index is 0.
+	mix         *kind
 	pools       map[poolKey]*pool
 	poolList    []*pool
 	jobs        map[uint64]*job
@@ -120,7 +137,7 @@
 	e := &engine{
 		base: o.Now, dataCentre: o.DataCentre, random: o.Random, chooser: c, config: o.Config.withDefaults(),
 		upstreams: make(map[string]*upstream), kinds: make(map[string]*kind), pools: make(map[poolKey]*pool),
-		jobs: make(map[uint64]*job), teams: make(map[string]*team),
+		jobs: make(map[uint64]*job), teams: make(map[string]*team), mix: newKind("", 0),
 	}
 	return e
 }
@@ -165,8 +182,7 @@
 		e.rebuildPools(at)
 		return
 	}
-	e.joinPools(up)
-	e.place(up, at)
+	e.joinPools(up, at)
 }
 
 // RemoveUpstream implements Policy.
@@ -213,7 +229,7 @@
 // Submit implements Policy.
 func (e *engine) Submit(now time.Time, j Job) *Refusal {
 	at := e.at(now)
-	k := e.kindOf(j.Kind)
+	k := e.kindOf(j.Kind, at)
 	class := classNormal
 	if j.Urgent {
 		class = classUrgent
@@ -239,7 +255,7 @@
 	for i := range jb.tasks {
 		t := &jb.tasks[i]
 		t.job, t.index = jb, uint16(i)
-		e.enqueue(t)
+		e.enqueue(t, at)
 	}
 	return nil
 }
@@ -270,14 +286,15 @@
 	return &j.tasks[ref.Index]
 }
 
-func (e *engine) kindOf(name string) *kind {
+func (e *engine) kindOf(name string, now instant) *kind {
 	if k := e.kinds[name]; k != nil {
 		return k
 	}
-	k := &kind{name: name, index: len(e.kindList), long: e.config.Kinds[name].Long}
+	k := newKind(name, 1+len(e.kindList))
+	k.long = e.config.Kinds[name].Long
 	e.kinds[name] = k
 	e.kindList = append(e.kindList, k)
-	k.pool = e.poolOf(k)
+	k.pool = e.poolOf(k, now)
 	return k
 }
 
@@ -291,8 +308,9 @@
 }
 
 // enqueue puts a task into the queue of its kind.
-func (e *engine) enqueue(t *task) {
+func (e *engine) enqueue(t *task, now instant) {
 	j := t.job
+	t.since = now
 	e.sequence++
 	t.state, t.parked, t.entry = stateWaiting, false, e.sequence
 	j.waiting++
@@ -330,5 +348,6 @@
 	t.job.open--
 	if t.job.open == 0 {
 		delete(e.jobs, t.job.id)
+		t.job.tasks = nil // the job itself stays in the timers until its deadline
 	}
 }
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -105,7 +105,7 @@
 	if delay > 0 {
 		e.park(t, now+delay)
 	} else {
-		e.enqueue(t)
+		e.enqueue(t, now)
 	}
 	if now >= t.job.deadline {
 		e.timers.push(now, t.job)
@@ -170,16 +170,17 @@
 const kindGeneration = 16
 
 func (e *engine) learnService(u *upstream, k *kind, service instant) {
-	s := u.statsOf(k)
-	s.times.add(service, serviceWeight)
+	x := logSeconds(service)
 	if k.times.n > 0 {
-		ratio := math.Log(max(service, minService).seconds()) - k.times.mu
-		u.speed.addLog(ratio, serviceWeight)
+		u.speed.addLog(x-k.times.mu, serviceWeight)
 	}
-	k.times.add(service, kindWeight)
 	u.generation++
-	if int(k.times.n)%kindGeneration == 0 || k.times.n < kindGeneration {
-		k.generation++
+	for _, k := range [...]*kind{k, e.mix} {
+		u.statsOf(k).times.addLog(x, serviceWeight)
+		k.times.addLog(x, kindWeight)
+		if int(k.times.n)%kindGeneration == 0 || k.times.n < kindGeneration {
+			k.refresh()
+		}
 	}
 }
 
--- a/internal/dispatch/guards.go
+++ b/internal/dispatch/guards.go
@@ -56,6 +56,7 @@
 // hedge sends second attempts of slow tasks while slots are idle and nothing waits.
 func (e *engine) hedge(now instant) {
 	if e.config.Hedging == nil {
+		e.hedges.items = nil
 		return
 	}
 	for {
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -38,9 +38,11 @@
 	variance float64
 }
 
-// add learns one duration with a final weight of one observation.
-func (s *estimate) add(d instant, weight float64) {
-	x := math.Log(max(d, minService).seconds())
+// logSeconds returns the logarithm of a duration in seconds.
+func logSeconds(d instant) float64 { return math.Log(max(d, minService).seconds()) }
+
+// addLog learns one value, given as its logarithm, with a final weight of one observation.
+func (s *estimate) addLog(x, weight float64) {
 	s.n++
 	if s.n == 1 {
 		s.mu, s.variance = x, coldVariance
@@ -124,10 +126,3 @@
 	x := float64(now-s.at) / successRecovery
 	return max(1-s.failure/(1+x+x*x/2), minSuccess)
 }
-
-// addLog learns a value that is a logarithm already.
-func (s *estimate) addLog(x, weight float64) {
-	s.n++
-	w := max(1/s.n, weight)
-	s.mu += w * (x - s.mu)
-}
--- a/internal/dispatch/next.go
+++ b/internal/dispatch/next.go
@@ -28,7 +28,7 @@
 // than a horizon after the submission. The horizon is the ageing: it grows with the learned time, so short work is
 // served before long work of the same age, and no task can be passed for longer than maxHorizon.
 func (e *engine) orderKey(j *job) instant {
-	service := j.kind.times.mean()
+	service := j.kind.mean
 	horizon := instant(float64(stretch) * float64(service) * (1 + float64(len(j.tasks)-1)/wideJob))
 	horizon = min(max(horizon, minHorizon), maxHorizon)
 	return max(min(j.deadline-service, j.submitted+horizon), j.submitted)
@@ -149,7 +149,7 @@
 
 // isLong tells whether tasks of a kind count as long before they start.
 func (e *engine) isLong(k *kind) bool {
-	return k.long || k.times.n >= minLongObservations && time.Duration(k.times.mean()) > e.config.LongThreshold
+	return k.long || k.times.n >= minLongObservations && time.Duration(k.mean) > e.config.LongThreshold
 }
 
 // minLongObservations is the number of results before a learned time makes a kind long.
@@ -166,7 +166,7 @@
 		t.entry = 0
 		t.job.waiting--
 		e.waiting[t.job.class]--
-		e.enqueue(t)
+		e.enqueue(t, now)
 	}
 }
 
@@ -191,8 +191,9 @@
 
 // refuseJob gives up all waiting tasks of a job. A job fails as a whole, so the rest of it would be wasted work.
 func (e *engine) refuseJob(now instant, j *job, reason wire.Reason) {
-	for i := range j.tasks {
-		t := &j.tasks[i]
+	tasks := j.tasks // end clears it with the last task
+	for i := range tasks {
+		t := &tasks[i]
 		if t.state != stateWaiting {
 			continue
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -34,7 +34,7 @@
 	return key
 }
 
-func (e *engine) poolOf(k *kind) *pool {
+func (e *engine) poolOf(k *kind, now instant) *pool {
 	key := e.poolKeyOf(k)
 	if p := e.pools[key]; p != nil {
 		return p
@@ -43,7 +43,7 @@
 	e.pools[key] = p
 	e.poolList = append(e.poolList, p)
 	for _, u := range e.active {
-		e.joinPool(u, p)
+		e.joinPool(u, p, now)
 	}
 	return p
 }
@@ -59,7 +59,7 @@
 	}
 	e.pools, e.poolList = make(map[poolKey]*pool), nil
 	for i, k := range e.kindList {
-		k.pool = e.poolOf(k)
+		k.pool = e.poolOf(k, now)
 		k.pool.inherit(former[i], now)
 	}
 	for _, j := range e.jobs {
@@ -98,24 +98,23 @@
 	return n
 }
 
-func (e *engine) joinPools(u *upstream) {
+func (e *engine) joinPools(u *upstream, now instant) {
 	for _, p := range e.poolList {
-		e.joinPool(u, p)
+		e.joinPool(u, p, now)
 	}
 }
 
-func (e *engine) joinPool(u *upstream, p *pool) {
+func (e *engine) joinPool(u *upstream, p *pool, now instant) {
 	if !e.config.eligible(u.Upstream, p.kindName) {
 		return
 	}
 	p.ups = append(p.ups, u)
 	p.had = true
 	u.pools = append(u.pools, membership{pool: p, idle: -1, open: -1})
-	u.idle, u.open = true, true
+	u.idle, u.open = e.chooser.room(e, u, now)
 	for i := range u.pools {
-		m := &u.pools[i]
-		m.setIdle(u, true)
-		m.setOpen(u, true)
+		u.pools[i].setIdle(u, u.idle)
+		u.pools[i].setOpen(u, u.open)
 	}
 }
 
--- a/internal/dispatch/shed.go
+++ b/internal/dispatch/shed.go
@@ -17,11 +17,10 @@
 	maxRetryAfter = 30 * time.Second
 	// standingWindow is the time over which the lowest expected wait must be above standingWait for the queue to count
 	// as standing. A queue that forms in a crest of demand is worth keeping, because it empties after the crest. One
-	// that stands adds only delay, so new work that is not urgent is refused above standingWait until the wait falls
-	// below standingEnd.
+	// that stands adds only delay, so new work that is not urgent is refused above standingWait until the wait stays
+	// below it for a whole window.
 	standingWindow = instant(10 * time.Second)
 	standingWait   = instant(1500 * time.Millisecond)
-	standingEnd    = instant(100 * time.Millisecond)
 	// minAdmissionWait is the expected wait below which no job is refused.
 	minAdmissionWait = instant(20 * time.Millisecond)
 )
@@ -59,7 +58,7 @@
 		ahead = p.backlog[classUrgent].before(now, j.key)
 	}
 	wait := e.expectedWait(now, p, ahead+len(j.tasks))
-	return wait > minAdmissionWait && now+wait+j.kind.times.mean() > j.deadline
+	return wait > minAdmissionWait && now+wait+j.kind.mean > j.deadline
 }
 
 // standing tells whether the queue has stood for long and new work would wait for long.
@@ -67,23 +66,27 @@
 	return p.queue.standing && e.expectedWait(now, p, p.waiting()) > standingWait
 }
 
-// standingQueue finds out whether a queue stands, from the lowest wait in two windows.
+// standingQueue finds out whether a queue stands, from the lowest and highest wait in a window.
 type standingQueue struct {
-	standing             bool
-	windowEnd            instant
-	lowest, formerLowest instant
+	standing        bool
+	windowEnd       instant
+	lowest, highest instant
 }
 
 func (s *standingQueue) observe(now, wait instant) {
-	s.lowest = min(s.lowest, wait)
-	if now >= s.windowEnd {
-		if now >= s.windowEnd+standingWindow {
-			s.lowest = 0
-		}
-		s.formerLowest, s.lowest, s.windowEnd = s.lowest, wait, now+standingWindow
-		s.standing = s.standing || s.formerLowest > standingWait
-	}
-	s.standing = s.standing && wait > standingEnd
+	s.lowest, s.highest = min(s.lowest, wait), max(s.highest, wait)
+	if now < s.windowEnd {
+		return
+	}
+	switch {
+	case now >= s.windowEnd+standingWindow: // nothing was observed for long
+		s.standing = false
+	case s.lowest > standingWait:
+		s.standing = true
+	case s.highest < standingWait:
+		s.standing = false
+	}
+	s.lowest, s.highest, s.windowEnd = wait, wait, now+standingWindow
 }
 
 // graceOver tells whether a waiting job has to be given up because no upstream can serve it.
@@ -100,7 +103,7 @@
 	}
 	free := 0
 	for _, u := range p.idle {
-		free += u.Slots - u.own()
+		free += u.Slots - u.own() - int(u.otherLoad(now, e.memory()))
 		if free >= n {
 			return 0
 		}
@@ -142,10 +145,8 @@
 	}
 	sum := 0.0
 	for _, u := range p.ups {
-		free := max(float64(u.Slots)-u.otherLoad(now, e.memory(u)), float64(u.own()), 0)
-		if len(e.kindList) > 0 {
-			sum += free / e.service(e.kindList[0], u).seconds()
-		}
+		free := max(float64(u.Slots)-u.otherLoad(now, e.memory()), float64(u.own()), 0)
+		sum += free / e.service(e.mix, u).seconds()
 	}
 	p.drain.model, p.drain.modelAt = sum, max(now, 1)
 	return sum
@@ -172,5 +173,5 @@
 	if j.sent || t.started || now-j.submitted < minAdmissionWait {
 		return false
 	}
-	return now+j.kind.times.median() > j.deadline
+	return now+j.kind.median > j.deadline
 }
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -54,7 +54,7 @@
 	}
 	for _, u := range e.active {
 		s.ByUpstream = append(s.ByUpstream, UpstreamStats{
-			ID: u.ID, Open: u.own(), Foreign: u.otherLoad(at, e.memory(u)), SuccessRate: u.success.rate(at),
+			ID: u.ID, Open: u.own(), Foreign: u.otherLoad(at, e.memory()), SuccessRate: u.success.rate(at),
 			RoundTrip: time.Duration(u.roundTrip), Ejected: u.ejection.ejected,
 		})
 		if u.ejection.ejected {
