--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -218,35 +218,65 @@
 	return s.cached
 }
 
-// successOf returns the success rate of a kind at an upstream relative to that of the kind everywhere.
+// successOf returns the success rate of a kind at an upstream relative to the mean of the upstreams. When all of them
+// fail, as when something behind them is down, none is worse than the others and work goes on.
 func (e *engine) successOf(now instant, k *kind, u *upstream) float64 {
+	rate := u.successOf(now, k)
+	if rate == 1 {
+		return 1
+	}
+	e.review(now, k)
+	return max(min(rate/k.peerRate, 1), minSuccess)
+}
+
+// successOf returns the success rate of a kind, blended with that of all kinds while there are few results.
+func (u *upstream) successOf(now instant, k *kind) float64 {
 	s := u.statsOf(k)
 	if s.success.failure == 0 && u.success.failure == 0 {
 		return 1
 	}
-	own := (s.results*s.success.rate(now) + successConfidence*u.success.rate(now)) / (s.results + successConfidence)
-	return max(min(own/k.success.rate(now), 1), minSuccess)
+	return (s.results*s.success.rate(now) + successConfidence*u.success.rate(now)) / (s.results + successConfidence)
 }
 
-// untrusted tells whether an upstream fails tasks that others complete. It gets one task at a time.
+// untrusted tells whether an upstream fails tasks that others complete. It gets one task at a time. No upstream is
+// untrusted while the last result of most of them is a failure.
 func (e *engine) untrusted(now instant, k *kind, u *upstream) bool {
-	if u.success.failure == 0 {
+	if u.success.streak == 0 {
 		return false
 	}
-	if u.success.streak >= untrustedStreak && k.success.rate(now) > untrustedSuccess {
-		return true
+	e.review(now, k)
+	if !k.mostHealthy {
+		return false
 	}
-	return e.successOf(now, k, u) < untrustedSuccess
+	return u.success.streak >= untrustedStreak || e.successOf(now, k, u) < untrustedSuccess
 }
 
-// usualInterval is the time for which the usual time of a kind is valid.
-const usualInterval = instant(50 * time.Millisecond)
+// reviewInterval is the time for which the figures of a kind over its pool are valid.
+const reviewInterval = instant(50 * time.Millisecond)
 
-// usual returns the expected time of a kind over the slots of the pool, without upstreams that are not trusted.
-func (e *engine) usual(now instant, k *kind) instant {
-	if k.usualAt > 0 && now-k.usualAt < usualInterval {
-		return k.usual
+// review computes the figures of a kind over the slots of its pool.
+func (e *engine) review(now instant, k *kind) {
+	if k.reviewed > 0 && now-k.reviewed < reviewInterval {
+		return
+	}
+	k.reviewed = max(now, 1)
+	k.peerRate, k.mostHealthy = 1, true
+	if n := len(k.pool.ups); n > 0 {
+		sum, healthy := 0.0, 0
+		for _, u := range k.pool.ups {
+			sum += u.successOf(now, k)
+			if u.success.streak == 0 {
+				healthy++
+			}
+		}
+		k.peerRate = max(sum/float64(n), minSuccess)
+		k.mostHealthy = 2*healthy >= n
 	}
+	k.usual = e.usualTime(now, k)
+}
+
+// usualTime returns the expected time over the slots of the pool, without upstreams that are not trusted.
+func (e *engine) usualTime(now instant, k *kind) instant {
 	rate, slots := 0.0, 0.0
 	for _, u := range k.pool.ups {
 		if u.ejection.ejected || e.untrusted(now, k, u) {
@@ -255,11 +285,10 @@
 		rate += float64(u.Slots) / float64(e.service(k, u))
 		slots += float64(u.Slots)
 	}
-	k.usual, k.usualAt = k.mean, max(now, 1)
-	if rate > 0 {
-		k.usual = instant(slots / rate)
+	if rate == 0 {
+		return k.mean
 	}
-	return k.usual
+	return instant(slots / rate)
 }
 
 // worthwhile tells whether a task should take the best upstream with room. When that is much slower than the others
@@ -267,7 +296,8 @@
 // work goes on when the others do not come back.
 func (e *engine) worthwhile(now instant, t *task, cost float64) bool {
 	p := t.job.kind.pool
-	usual := float64(e.usual(now, t.job.kind))
+	e.review(now, t.job.kind)
+	usual := float64(t.job.kind.usual)
 	if cost <= 2*usual || now-t.since >= instant(patience*cost) {
 		return true
 	}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -76,19 +76,21 @@
 	long    bool // by configuration
 	pool    *pool
 	times   estimate
-	success success
 	queues  [classes]taskQueue
 	blocked [classes]uint64 // pass in which the queue was found blocked
 	// generation changes when the learned times have changed enough to compute estimates again.
 	generation uint64
 	// mean and median are those of times as of the generation.
 	mean, median instant
-	// usual is the expected time at the upstreams of the pool that can be trusted, as of usualAt.
-	usual, usualAt instant
+	// usual is the expected time at the upstreams of the pool that can be trusted, and peerRate the mean success rate of
+	// the upstreams, as of reviewed.
+	usual, reviewed instant
+	peerRate        float64
+	mostHealthy     bool // the last result of at least half of the upstreams is a success
 }
 
 func newKind(name string, index int) *kind {
-	return &kind{name: name, index: index, mean: coldService, median: coldService}
+	return &kind{name: name, index: index, mean: coldService, median: coldService, peerRate: 1, mostHealthy: true}
 }
 
 // refresh computes what depends on the learned times again.
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -186,10 +186,9 @@
 
 func (e *engine) learnSuccess(now instant, u *upstream, k *kind, ok bool) {
 	s := u.statsOf(k)
-	s.success.add(now, ok, successWeight)
+	s.success.add(now, ok)
 	s.results = min(s.results+1, 20)
-	u.success.add(now, ok, successWeight)
-	k.success.add(now, ok, kindSuccessWeight)
+	u.success.add(now, ok)
 	e.reviewEjection(now, u, ok)
 }
 
--- /dev/null
+++ b/internal/dispatch/guards_test.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// TestRetriesAreOff guards against a second start of a task when the document does not allow it.
+func TestRetriesAreOff(t *testing.T) {
+	for _, state := range []ResultState{Failed, Lost} {
+		b := newBed(t, Config{}, up("u1", 1), up("u2", 1))
+		b.submit(Job{Idempotent: true})
+		b.Expect(b.end(b.one(), state, 0)).To(gomega.Equal(Final))
+		b.Expect(b.next()).To(gomega.BeEmpty())
+	}
+}
+
+// TestRetryBudget guards against retries beyond the share of first attempts, and against retries of requests that are
+// not idempotent.
+func TestRetryBudget(t *testing.T) {
+	b := newBed(t, Config{Retries: &Retries{Share: 0.1, MaxAttempts: 2}}, up("u1", 8), up("u2", 8), up("u3", 8))
+	retries := 0
+	const tasks = 1000
+	for i := range tasks {
+		b.submit(Job{Idempotent: i%2 == 0})
+		a := b.one()
+		for b.end(a, Failed, 0) == Again {
+			retries++
+			b.Expect(i%2).To(gomega.BeZero(), "only idempotent tasks are retried")
+			a = b.one()
+			b.Expect(a.Retry).To(gomega.BeTrue())
+		}
+		b.wait(time.Second)
+	}
+	b.Expect(retries).To(gomega.BeNumerically("~", 100, 1))
+}
+
+// TestHedging guards against a second attempt at the same upstream, and against two ends of a hedged task.
+func TestHedging(t *testing.T) {
+	b := newBed(t, Config{Hedging: &Hedging{Factor: 1, Share: 1}}, up("u1", 4), up("u2", 4))
+	for range 10 {
+		b.submit(Job{Idempotent: true})
+		a := b.one()
+		b.wait(100 * time.Millisecond)
+		b.done(a, 100*time.Millisecond)
+	}
+	b.submit(Job{Idempotent: true})
+	first := b.one()
+	wake := b.p.Wake(b.now)
+	b.Expect(wake).To(gomega.BeTemporally(">", b.now.Add(100*time.Millisecond)))
+	b.now = wake
+	second := b.one()
+	b.Expect(second.Hedge).To(gomega.BeTrue())
+	b.Expect(second.Ref).To(gomega.Equal(first.Ref))
+	b.Expect(second.Upstream).NotTo(gomega.Equal(first.Upstream))
+	b.Expect(b.done(second, 100*time.Millisecond)).To(gomega.Equal(Final))
+	b.Expect(b.done(first, 100*time.Millisecond)).To(gomega.Equal(Ignored))
+	b.Expect(b.p.Stats(b.now).OpenAttempts).To(gomega.BeZero())
+}
+
+// TestEjectedShareIsCapped guards against an ejection guard that takes most upstreams away when many fail.
+func TestEjectedShareIsCapped(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(rt, "share")
+		n := rapid.IntRange(1, 12).Draw(rt, "upstreams")
+		p := newPolicy(gomega.NewWithT(rt), ExpectedCompletion, rapid.Uint64().Draw(rt, "seed"), Config{
+			Ejection: &Ejection{MaxShare: share, ErrorRate: 0.2, Rest: time.Second},
+		})
+		now := epoch.Add(time.Minute)
+		bad := map[string]bool{}
+		for i := range n {
+			u := up(fmt.Sprint("u", i), 2)
+			bad[u.ID] = rapid.Bool().Draw(rt, "bad")
+			p.SetUpstream(now, u)
+		}
+		for id := range uint64(300) {
+			p.Submit(now, Job{ID: id, Kind: "k", Deadline: now.Add(time.Second), Tasks: 2})
+			assignments, _ := p.Next(now)
+			for _, a := range append([]Assignment(nil), assignments...) {
+				state := Succeeded
+				if bad[a.Upstream] {
+					state = Failed
+				}
+				p.Finished(now, a.Ref, a.Upstream, Result{State: state, Service: 10 * time.Millisecond})
+			}
+			now = now.Add(50 * time.Millisecond)
+			if s := p.Stats(now); float64(s.Ejected) > share*float64(n) {
+				rt.Fatalf("%d of %d are ejected, allowed share %.2f", s.Ejected, n, share)
+			}
+		}
+	})
+}
+
+// TestEjectedUpstreamIsProbed guards against an ejected upstream that never comes back, and against more than one task
+// at a time for the probe.
+func TestEjectedUpstreamIsProbed(t *testing.T) {
+	bad, good := up("bad", 8), up("good", 8)
+	good.Kinds = []string{"other"}
+	b := newBed(t, Config{Ejection: &Ejection{MaxShare: 0.5, ErrorRate: 0.3, Rest: time.Second}}, bad, good)
+	broken := true
+	ejected, atOnce := false, 0
+	for range 3000 {
+		b.submit(Job{Tasks: 4})
+		probes := 0
+		for _, a := range b.next() {
+			if a.Upstream == "bad" {
+				probes++
+			}
+			if a.Upstream == "bad" && broken {
+				b.end(a, Failed, 0)
+				continue
+			}
+			b.done(a, 10*time.Millisecond)
+		}
+		if b.p.Stats(b.now).Ejected == 1 && !ejected {
+			ejected, broken = true, false
+		} else if ejected && b.p.Stats(b.now).Ejected == 0 {
+			b.Expect(atOnce).To(gomega.BeNumerically("<=", 1))
+			return
+		} else if ejected {
+			atOnce = max(atOnce, probes)
+		}
+		b.wait(10 * time.Millisecond)
+	}
+	t.Fatalf("the upstream was ejected: %v, and not readmitted", ejected)
+}
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -82,9 +82,6 @@
 const (
 	// successWeight is the weight of one result: about four failures in a row bring the rate from 1 to 0.3.
 	successWeight = 0.25
-	// kindSuccessWeight is that for the rate of a kind over all upstreams. It is lower, so that a run of failures of one
-	// upstream does not make failures look usual.
-	kindSuccessWeight = 0.03
 	// successRecovery is the time constant with which the rate returns to 1 without results, so that a repaired
 	// upstream gets work again.
 	successRecovery = float64(30 * time.Second)
@@ -107,15 +104,15 @@
 	streak  int // failures since the last success
 }
 
-// add learns one result with the given weight.
-func (s *success) add(now instant, ok bool, weight float64) {
+// add learns one result.
+func (s *success) add(now instant, ok bool) {
 	f := 1 - s.rate(now)
 	sample := 1.0
 	s.streak++
 	if ok {
 		sample, s.streak = 0, 0
 	}
-	s.failure = f + weight*(sample-f)
+	s.failure = f + successWeight*(sample-f)
 	s.at = now
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -45,9 +45,19 @@
 	for _, u := range e.active {
 		e.joinPool(u, p, now)
 	}
+	e.recall(p)
 	return p
 }
 
+// recall finds out when the last upstream of a new pool left.
+func (e *engine) recall(p *pool) {
+	for _, u := range e.upstreams {
+		if u.removed && e.config.eligible(u.Upstream, p.kindName) {
+			p.had, p.emptySince = true, max(p.emptySince, u.removedAt)
+		}
+	}
+}
+
 // rebuildPools groups kinds and upstreams again after a change of the configuration.
 func (e *engine) rebuildPools(now instant) {
 	former := make([]*pool, len(e.kindList))
--- /dev/null
+++ b/internal/dispatch/rules_test.go
@@ -0,0 +1,398 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// bed drives one policy by hand.
+type bed struct {
+	gomega.Gomega
+	p    Policy
+	now  time.Time
+	jobs uint64
+}
+
+func newBed(t *testing.T, c Config, upstreams ...Upstream) *bed {
+	g := gomega.NewWithT(t)
+	b := &bed{Gomega: g, p: newPolicy(g, ExpectedCompletion, 1, c), now: epoch.Add(time.Minute)}
+	for _, u := range upstreams {
+		b.p.SetUpstream(b.now, u)
+	}
+	return b
+}
+
+func up(id string, slots int) Upstream { return Upstream{ID: id, DataCentre: "A", Slots: slots} }
+
+func (b *bed) submit(j Job) *Refusal {
+	b.jobs++
+	j.ID = b.jobs
+	j.Tasks = max(j.Tasks, 1)
+	if j.Kind == "" {
+		j.Kind = "k"
+	}
+	if j.Deadline.IsZero() {
+		j.Deadline = b.now.Add(10 * time.Second)
+	}
+	return b.p.Submit(b.now, j)
+}
+
+func (b *bed) next() []Assignment {
+	a, _ := b.p.Next(b.now)
+	return append([]Assignment(nil), a...)
+}
+
+func (b *bed) one() Assignment {
+	a := b.next()
+	b.Expect(a).To(gomega.HaveLen(1))
+	return a[0]
+}
+
+func (b *bed) done(a Assignment, service time.Duration) Verdict {
+	return b.p.Finished(b.now, a.Ref, a.Upstream, Result{State: Succeeded, Service: service})
+}
+
+func (b *bed) end(a Assignment, state ResultState, reason wire.RefusalReason) Verdict {
+	return b.p.Finished(b.now, a.Ref, a.Upstream, Result{State: state, Reason: reason, Service: time.Millisecond})
+}
+
+func (b *bed) wait(d time.Duration) { b.now = b.now.Add(d) }
+
+// teach lets an upstream finish tasks of a kind one after the other while the others are away.
+func (b *bed) teach(u Upstream, kind string, service time.Duration, state ResultState, n int) {
+	for range n {
+		b.submit(Job{Kind: kind})
+		a := b.one()
+		b.wait(service)
+		b.p.Finished(b.now, a.Ref, a.Upstream, Result{State: state, Service: service})
+	}
+	b.Expect(b.p.Stats(b.now).Waiting).To(gomega.BeZero(), u.ID)
+}
+
+// TestOrder guards against urgent work behind other work, and against short work behind earlier long work.
+func TestOrder(t *testing.T) {
+	b := newBed(t, Config{Queue: -1}, up("u", 1))
+	b.teach(up("u", 1), "short", 50*time.Millisecond, Succeeded, 10)
+	b.teach(up("u", 1), "long", time.Second, Succeeded, 10)
+	b.submit(Job{Kind: "short"})
+	running := b.one()
+	b.submit(Job{Kind: "long"})
+	b.submit(Job{Kind: "short"})
+	b.submit(Job{Kind: "long", Urgent: true})
+	var order []uint64
+	for range 3 {
+		b.done(running, 50*time.Millisecond)
+		running = b.one()
+		order = append(order, running.Ref.Job)
+	}
+	b.Expect(order).To(gomega.Equal([]uint64{24, 23, 22}))
+}
+
+// TestNoStarvation guards against other work that never runs while urgent work fills every slot.
+func TestNoStarvation(t *testing.T) {
+	b := newBed(t, Config{Queue: -1}, up("u", 1))
+	b.submit(Job{Urgent: true})
+	running := b.one()
+	b.submit(Job{Deadline: b.now.Add(time.Minute)})
+	other := b.jobs
+	for range 200 {
+		b.submit(Job{Urgent: true})
+		b.wait(50 * time.Millisecond)
+		b.done(running, 50*time.Millisecond)
+		running = b.one()
+		if running.Ref.Job == other {
+			return
+		}
+	}
+	t.Fatal("the task that is not urgent did not run in 10 s")
+}
+
+// TestRefusedStartGoesElsewhere guards against a refused start that is lost or sent to the same upstream again.
+func TestRefusedStartGoesElsewhere(t *testing.T) {
+	b := newBed(t, Config{}, up("u1", 2), up("u2", 2))
+	b.submit(Job{})
+	first := b.one()
+	b.Expect(b.end(first, Refused, wire.RefusedBusy)).To(gomega.Equal(Again))
+	second := b.one()
+	b.Expect(second.Upstream).NotTo(gomega.Equal(first.Upstream))
+	b.Expect(second.Retry).To(gomega.BeFalse(), "nothing was started")
+	b.Expect(b.done(second, time.Millisecond)).To(gomega.Equal(Final))
+}
+
+// TestUnreachableUpstreamRests guards against a busy loop of starts to an upstream that refuses connections.
+func TestUnreachableUpstreamRests(t *testing.T) {
+	b := newBed(t, Config{}, up("u", 8))
+	b.submit(Job{Tasks: 8, Deadline: b.now.Add(30 * time.Second)})
+	starts := 0
+	for range 10_000 { // 10 s
+		for _, a := range b.next() {
+			starts++
+			b.end(a, Refused, wire.RefusedDown)
+		}
+		b.wait(time.Millisecond)
+	}
+	b.Expect(starts).To(gomega.BeNumerically("<", 200))
+	b.Expect(b.p.Stats(b.now).Waiting).To(gomega.Equal(8))
+}
+
+// TestFailingUpstreamAttractsNoWork guards against an upstream that looks idle because it fails tasks at once.
+func TestFailingUpstreamAttractsNoWork(t *testing.T) {
+	b := newBed(t, Config{}, up("bad", 8), up("good1", 8), up("good2", 8))
+	failed, total := 0, 2000
+	var open []Assignment
+	for range total {
+		b.submit(Job{})
+		open = append(open, b.next()...)
+		b.wait(10 * time.Millisecond)
+		kept := open[:0]
+		for _, a := range open {
+			switch {
+			case a.Upstream == "bad":
+				failed++
+				b.end(a, Failed, 0)
+			case len(open) > 8:
+				b.done(a, 100*time.Millisecond)
+				open = open[1:]
+			default:
+				kept = append(kept, a)
+			}
+		}
+		open = append([]Assignment(nil), kept...)
+	}
+	b.Expect(float64(failed) / float64(total)).To(gomega.BeNumerically("<", 0.02))
+}
+
+// TestRepairedUpstreamGetsWork guards against an upstream that stays without work after it was repaired.
+func TestRepairedUpstreamGetsWork(t *testing.T) {
+	b := newBed(t, Config{}, up("bad", 8))
+	b.p.RemoveUpstream(b.now, "none")
+	b.teach(up("bad", 8), "k", 100*time.Millisecond, Succeeded, 5)
+	b.p.SetUpstream(b.now, up("good", 1))
+	for range 20 {
+		b.submit(Job{Tasks: 3})
+		for _, a := range b.next() {
+			if a.Upstream == "bad" {
+				b.end(a, Failed, 0)
+			} else {
+				b.done(a, 100*time.Millisecond)
+			}
+		}
+		b.wait(100 * time.Millisecond)
+	}
+	used := false
+	for range 1200 { // 2 min
+		b.wait(100 * time.Millisecond)
+		b.submit(Job{Tasks: 2})
+		for _, a := range b.next() {
+			used = used || a.Upstream == "bad"
+			b.done(a, 100*time.Millisecond)
+		}
+	}
+	b.Expect(used).To(gomega.BeTrue())
+}
+
+// TestSlowUpstreamWaits guards against a task that takes a slow upstream although a fast one is free soon.
+func TestSlowUpstreamWaits(t *testing.T) {
+	b := newBed(t, Config{Queue: -1}, up("slow", 4))
+	b.teach(up("slow", 4), "k", 2*time.Second, Succeeded, 10)
+	b.p.RemoveUpstream(b.now, "slow")
+	b.p.SetUpstream(b.now, up("fast", 4))
+	b.teach(up("fast", 4), "k", 100*time.Millisecond, Succeeded, 30)
+	b.p.SetUpstream(b.now, up("slow", 4))
+	b.submit(Job{Tasks: 4})
+	for _, a := range b.next() {
+		b.Expect(a.Upstream).To(gomega.Equal("fast"))
+	}
+	b.submit(Job{})
+	b.Expect(b.next()).To(gomega.BeEmpty(), "the fast upstream is free in 100 ms")
+	b.p.RemoveUpstream(b.now, "fast")
+	b.wait(time.Second)
+	b.Expect(b.one().Upstream).To(gomega.Equal("slow"), "no other upstream is left")
+}
+
+// TestNearDataCentre guards against work that crosses data centres without need.
+func TestNearDataCentre(t *testing.T) {
+	far := up("far", 8)
+	far.DataCentre = "B"
+	b := newBed(t, Config{}, far, up("near", 8))
+	for range 4 {
+		b.submit(Job{})
+		a := b.one()
+		b.Expect(a.Upstream).To(gomega.Equal("near"))
+		b.wait(100 * time.Millisecond)
+		b.done(a, 99*time.Millisecond)
+	}
+}
+
+// TestLongWorkLeavesSlots guards against long tasks in every slot of an upstream.
+func TestLongWorkLeavesSlots(t *testing.T) {
+	b := newBed(t, Config{}, up("u", 8))
+	b.teach(up("u", 8), "long", 5*time.Second, Succeeded, 10)
+	b.submit(Job{Kind: "long", Tasks: 20, Deadline: b.now.Add(time.Minute)})
+	long := b.next()
+	b.Expect(long).To(gomega.HaveLen(6), "a quarter of the slots is kept")
+	b.Expect(long[0].Long).To(gomega.BeTrue())
+	b.submit(Job{Kind: "short", Tasks: 2})
+	b.Expect(b.next()).To(gomega.HaveLen(2))
+}
+
+// TestOldTaskCountsAsLong guards against long work beside tasks that have run for long without being known as long.
+func TestOldTaskCountsAsLong(t *testing.T) {
+	b := newBed(t, Config{Kinds: map[string]Kind{"long": {Long: true}}}, up("u", 8))
+	b.submit(Job{Kind: "short", Tasks: 5, Deadline: b.now.Add(time.Minute)})
+	b.Expect(b.next()).To(gomega.HaveLen(5))
+	b.wait(3 * time.Second)
+	b.submit(Job{Kind: "long", Tasks: 3})
+	b.Expect(b.next()).To(gomega.HaveLen(1), "five old tasks count against the six slots for long work")
+}
+
+// TestOverload guards against accepting work that cannot be done in time, and against refusing urgent work first.
+func TestOverload(t *testing.T) {
+	b := newBed(t, Config{}, up("u", 2))
+	b.teach(up("u", 2), "k", 500*time.Millisecond, Succeeded, 10)
+	var r *Refusal
+	accepted := 0
+	for r == nil && accepted < 1000 {
+		r = b.submit(Job{Deadline: b.now.Add(5 * time.Second)})
+		b.next()
+		accepted++
+	}
+	b.Expect(r).NotTo(gomega.BeNil())
+	b.Expect(r.Reason).To(gomega.Equal(wire.ReasonOverloaded))
+	b.Expect(r.RetryAfter).To(gomega.BeNumerically(">", time.Second))
+	b.Expect(accepted).To(gomega.BeNumerically("~", 20, 8), "4 tasks/s for 5 s")
+	b.Expect(b.submit(Job{Urgent: true, Deadline: b.now.Add(5 * time.Second)})).To(gomega.BeNil())
+}
+
+// TestBoundedQueue guards against a queue without bound when nothing is known about the drain.
+func TestBoundedQueue(t *testing.T) {
+	b := newBed(t, Config{MaxWaiting: 100})
+	b.p.SetUpstream(b.now, up("u", 1))
+	later := b.now.Add(time.Minute)
+	b.Expect(b.submit(Job{Tasks: 80, Deadline: later})).To(gomega.BeNil())
+	r := b.submit(Job{Tasks: 10, Deadline: later})
+	b.Expect(r).NotTo(gomega.BeNil())
+	b.Expect(r.Reason).To(gomega.Equal(wire.ReasonOverloaded))
+	b.Expect(b.submit(Job{Tasks: 10, Urgent: true, Deadline: later})).To(gomega.BeNil())
+}
+
+// TestNoUpstream guards against jobs that can never run but wait, and against refusals during a short absence.
+func TestNoUpstream(t *testing.T) {
+	kinds := map[string]Kind{"big": {MemoryMB: 1000}}
+	b := newBed(t, Config{Kinds: kinds}, up("u", 1))
+	r := b.submit(Job{Kind: "big"})
+	b.Expect(r).NotTo(gomega.BeNil())
+	b.Expect(r.Reason).To(gomega.Equal(wire.ReasonNoUpstream))
+	b.p.RemoveUpstream(b.now, "u")
+	b.wait(5 * time.Second)
+	b.Expect(b.submit(Job{})).To(gomega.BeNil(), "there was an upstream 5 s ago")
+	_, refusals := b.p.Next(b.now)
+	b.Expect(refusals).To(gomega.BeEmpty())
+	b.Expect(b.p.Wake(b.now)).To(gomega.BeTemporally("<=", b.now.Add(2*time.Second)))
+	b.wait(2 * time.Second)
+	_, refusals = b.p.Next(b.now)
+	b.Expect(refusals).To(gomega.HaveLen(1))
+	b.Expect(refusals[0].Reason).To(gomega.Equal(wire.ReasonNoUpstream))
+	b.wait(5 * time.Second)
+	b.Expect(b.submit(Job{})).NotTo(gomega.BeNil(), "the last upstream left 12 s ago")
+}
+
+// TestYoungEntryWaits guards against refusals by an entry to which the agents have not connected yet.
+func TestYoungEntryWaits(t *testing.T) {
+	b := newBed(t, Config{})
+	b.now = epoch.Add(time.Second)
+	b.Expect(b.submit(Job{})).To(gomega.BeNil())
+	b.wait(time.Second)
+	b.p.SetUpstream(b.now, up("u", 1))
+	b.Expect(b.next()).To(gomega.HaveLen(1))
+}
+
+// TestDeadline guards against starts after the deadline, and against a wake-up that comes too late.
+func TestDeadline(t *testing.T) {
+	b := newBed(t, Config{Queue: -1}, up("u", 1))
+	b.submit(Job{})
+	running := b.one()
+	b.submit(Job{Deadline: b.now.Add(2 * time.Second), Tasks: 2, Urgent: true})
+	b.next()
+	b.Expect(b.p.Wake(b.now)).To(gomega.BeTemporally("<=", b.now.Add(2*time.Second)))
+	b.wait(2 * time.Second)
+	b.done(running, 2*time.Second)
+	assignments, refusals := b.p.Next(b.now)
+	b.Expect(assignments).To(gomega.BeEmpty())
+	b.Expect(refusals).To(gomega.HaveLen(2))
+	b.Expect(refusals[0].Reason).To(gomega.Equal(wire.ReasonDeadline))
+	b.Expect(b.p.Wake(b.now)).To(gomega.Equal(time.Time{}))
+}
+
+// TestRemovedUpstream guards against new work for an upstream that is leaving.
+func TestRemovedUpstream(t *testing.T) {
+	b := newBed(t, Config{}, up("u1", 2), up("u2", 2))
+	b.p.RemoveUpstream(b.now, "u1")
+	b.submit(Job{Tasks: 10})
+	for _, a := range b.next() {
+		b.Expect(a.Upstream).To(gomega.Equal("u2"))
+	}
+}
+
+// TestCancelledTaskIsNotSentAgain guards against a new attempt of a task that was cancelled while one was open.
+func TestCancelledTaskIsNotSentAgain(t *testing.T) {
+	b := newBed(t, Config{Queue: -1}, up("u", 1))
+	b.submit(Job{Tasks: 2})
+	a := b.one()
+	removed := b.p.Cancel(b.now, []TaskRef{{1, 0}, {1, 1}, {9, 9}})
+	b.Expect(removed).To(gomega.HaveLen(1))
+	b.Expect(b.end(a, Refused, wire.RefusedBusy)).To(gomega.Equal(Final))
+	b.wait(time.Second)
+	b.Expect(b.next()).To(gomega.BeEmpty())
+}
+
+// TestForeignLoad guards against starts at an upstream that other entries have filled, and against giving it up for good.
+func TestForeignLoad(t *testing.T) {
+	b := newBed(t, Config{Queue: -1}, up("u", 2))
+	b.teach(up("u", 2), "k", 100*time.Millisecond, Succeeded, 5)
+	b.p.Report(b.now, "u", Load{Running: 2})
+	b.submit(Job{})
+	b.Expect(b.next()).To(gomega.BeEmpty())
+	b.wait(time.Second)
+	b.Expect(b.next()).To(gomega.HaveLen(1), "a report of a second ago tells little")
+}
+
+// TestDeterministic guards against decisions that depend on anything but the calls and the seed, such as map order.
+func TestDeterministic(t *testing.T) {
+	run := func() string {
+		b := newBed(t, Config{}, up("u1", 3), up("u2", 3), up("u3", 3))
+		log := ""
+		var open []Assignment
+		for i := range 500 {
+			b.submit(Job{Kind: fmt.Sprint("k", i%3), Tasks: uint16(1 + i%7)})
+			open = append(open, b.next()...)
+			for j, a := range open[:len(open)/2] {
+				b.end(a, ResultState(1+(i+j)%4), wire.RefusedBusy)
+			}
+			open = open[len(open)/2:]
+			log += fmt.Sprint(open)
+			b.wait(time.Duration(i) * time.Millisecond)
+		}
+		return log
+	}
+	gomega.NewWithT(t).Expect(run()).To(gomega.Equal(run()))
+}
+
+// TestTotalOutage guards against work that stops because every upstream fails, as when something behind them is down.
+// Callers need the answers, and work must go on at once when the fault is over.
+func TestTotalOutage(t *testing.T) {
+	b := newBed(t, Config{}, up("u1", 4), up("u2", 4), up("u3", 4))
+	for range 1000 { // 10 s
+		b.submit(Job{Tasks: 2})
+		for _, a := range b.next() {
+			b.end(a, Failed, 0)
+		}
+		b.wait(10 * time.Millisecond)
+	}
+	b.Expect(b.p.Stats(b.now).Waiting).To(gomega.BeNumerically("<=", 10))
+}
