--- a/internal/command/policy_compare.go
+++ b/internal/command/policy_compare.go
@@ -13,7 +13,7 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/dispatch/policysim"
 )
 
-// all selects every deployment or scenario.
+// all selects every scenario, and every deployment of today.
 const all = "all"
 
 // policyCompare holds the settings of the subcommand policy-compare.
@@ -44,7 +44,7 @@
 
 func deploymentNames() []string {
 	var names []string
-	for _, d := range policysim.Deployments() {
+	for _, d := range policysim.AllDeployments() {
 		names = append(names, d.Name)
 	}
 	return names
@@ -62,9 +62,10 @@
 	plan := policysim.Plan{
 		Policies: policysim.Policies(), Entries: p.entries, Seed: uint64(p.seed), Runs: p.runs, Parallel: p.parallel,
 	}
-	for _, d := range policysim.Deployments() {
-		if p.deployment == all || p.deployment == d.Name {
-			plan.Deployments = append(plan.Deployments, d)
+	plan.Deployments = policysim.Deployments()
+	for _, d := range policysim.AllDeployments() {
+		if p.deployment == d.Name {
+			plan.Deployments = []policysim.Deployment{d}
 		}
 	}
 	for _, s := range policysim.Scenarios(p.length) {
--- a/internal/dispatch/policysim/compare.go
+++ b/internal/dispatch/policysim/compare.go
@@ -40,6 +40,9 @@
 // Deployments returns today's deployments.
 func Deployments() []Deployment { return []Deployment{Wax(), Mkeka()} }
 
+// AllDeployments returns today's deployments and the target, which takes much longer to run.
+func AllDeployments() []Deployment { return append(Deployments(), Target()) }
+
 // DefaultLength is the length of a steady scenario in virtual time.
 const DefaultLength = 300 * time.Second
 
--- a/internal/dispatch/policysim/workload.go
+++ b/internal/dispatch/policysim/workload.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// Target is the size to which the design has to grow: 730 upstreams in 8 data centres with the workload of mkeka.
+func Target() Deployment {
+	const upstreams = 730
+	d := Mkeka()
+	d.Name = "target"
+	d.DataCentres = []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	d.Speeds = nil
+	for i := range upstreams {
+		d.Speeds = append(d.Speeds, speeds[i%len(speeds)])
+	}
+	return d
+}
+
 // capacity returns the work in seconds of reference time that all upstreams do per second.
 func (d *Deployment) capacity() float64 {
 	sum := 0.0
