--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -38,9 +38,11 @@
 	variance float64
 }
 
-// add learns one duration with a final weight of one observation.
-func (s *estimate) add(d instant, weight float64) {
-	x := math.Log(max(d, minService).seconds())
+// logSeconds returns the logarithm of a duration in seconds.
+func logSeconds(d instant) float64 { return math.Log(max(d, minService).seconds()) }
+
+// addLog learns one value, given as its logarithm, with a final weight of one observation.
+func (s *estimate) addLog(x, weight float64) {
 	s.n++
 	if s.n == 1 {
 		s.mu, s.variance = x, coldVariance
@@ -80,9 +82,6 @@
 const (
 	// successWeight is the weight of one result: about four failures in a row bring the rate from 1 to 0.3.
 	successWeight = 0.25
-	// kindSuccessWeight is that for the rate of a kind over all upstreams. It is lower, so that a run of failures of one
-	// upstream does not make failures look usual.
-	kindSuccessWeight = 0.03
 	// successRecovery is the time constant with which the rate returns to 1 without results, so that a repaired
 	// upstream gets work again.
 	successRecovery = float64(30 * time.Second)
@@ -105,15 +104,15 @@
 	streak  int // failures since the last success
 }
 
-// add learns one result with the given weight.
-func (s *success) add(now instant, ok bool, weight float64) {
+// add learns one result.
+func (s *success) add(now instant, ok bool) {
 	f := 1 - s.rate(now)
 	sample := 1.0
 	s.streak++
 	if ok {
 		sample, s.streak = 0, 0
 	}
-	s.failure = f + weight*(sample-f)
+	s.failure = f + successWeight*(sample-f)
 	s.at = now
 }
 
@@ -124,10 +123,3 @@
 	x := float64(now-s.at) / successRecovery
 	return max(1-s.failure/(1+x+x*x/2), minSuccess)
 }
-
-// addLog learns a value that is a logarithm already.
-func (s *estimate) addLog(x, weight float64) {
-	s.n++
-	w := max(1/s.n, weight)
-	s.mu += w * (x - s.mu)
-}
