--- a/internal/command/policy_compare_test.go
+++ b/internal/command/policy_compare_test.go
@@ -19,7 +19,9 @@
 		"policy-compare", "--deployment", "wax", "--scenario", "load-0.7", "--runs", "1", "--length", "20s", "--json", "true",
 	}
 	none := func(string) (string, bool) { return "", false }
-	g.Expect(run(context.Background(), args, streams{out: &out, err: &errors}, none)).To(gomega.Equal(ExitOK), errors.String())
+	commands, groups := subcommands()
+	code := run(context.Background(), args, streams{out: &out, err: &errors}, none, commands, groups)
+	g.Expect(code).To(gomega.Equal(ExitOK), errors.String())
 	var rows []policysim.Row
 	g.Expect(json.Unmarshal(out.Bytes(), &rows)).To(gomega.Succeed())
 	g.Expect(rows).To(gomega.HaveLen(len(policysim.Policies())))
