--- a/internal/agent/entry_test.go
+++ b/internal/agent/entry_test.go
@@ -164,16 +164,3 @@
 	g.Eventually(func() *wire.Result { return e.result(attempt) }, 8*time.Second, 2*time.Millisecond).ShouldNot(gomega.BeNil())
 	return e.result(attempt)
 }
-
-// received returns the messages of one type.
-func received[M wire.Message](e *testEntry) []M {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var all []M
-	for _, m := range e.messages {
-		if typed, ok := m.(M); ok {
-			all = append(all, typed)
-		}
-	}
-	return all
-}
