Make the count of contradictions in the load test exact

The fake counted a refusal as a contradiction when its own answer had been written, the generator when it had been read. Under load the two differed (49 and 54 in one run). The fake now holds the first answer until the concurrent copy was refused.

--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -308,12 +308,28 @@
 func TestContradictionsAreCounted(t *testing.T) {
 	t.Parallel()
 	g := gomega.NewWithT(t)
+	// The first copy is held until a concurrent one was refused, or for longer than a concurrent one can be late. So the
+	// fake and the generator agree on which refusal came after the answer.
+	const longestLag = 2 * time.Second
+	var mu sync.Mutex
+	second := make(map[string]chan struct{})
+	arrivalOf := func(first string) chan struct{} {
+		mu.Lock()
+		defer mu.Unlock()
+		if second[first] == nil {
+			second[first] = make(chan struct{})
+		}
+		return second[first]
+	}
 	var complete sync.Map
 	var contradictions, concurrent atomic.Uint64
 	entry := &fakeEntry{answer: func(job *api.JobRequest, copyOf int) (*api.Answer, int) {
 		first := string(job.Tasks[0].Body)
 		if copyOf == 0 {
-			time.Sleep(400 * time.Millisecond)
+			select {
+			case <-arrivalOf(first):
+			case <-time.After(longestLag):
+			}
 			complete.Store(first, true)
 			return right(job), 200
 		}
@@ -321,6 +337,7 @@
 			contradictions.Add(1)
 		} else {
 			concurrent.Add(1)
+			close(arrivalOf(first))
 		}
 		return refused(api.OutcomeNotRun, wire.ReasonOverloaded)
 	}}
