--- /dev/null
+++ b/internal/capacity/process_test.go
@@ -0,0 +1,246 @@
+// Package capacity measures what one process costs at several sizes, so that docs/CAPACITY.md can be worked out from
+// slopes. It holds benchmarks only; run them with
+//
+//	go test -run '^$' -bench . -benchtime 1x -timeout 30m ./internal/capacity
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	token         = "capacity"
+	service       = "bench"
+	ticksPerSec   = 100 // USER_HZ of Linux
+	pageSizeBytes = 4096
+)
+
+// document serves one kind that every agent can run. An entry has as many services of this form as a run asks for.
+const document = `service: %s
+team: team-%s
+kinds:
+  - name: work
+    idempotent: true
+    deadline: 30s
+    method: POST
+    path: /work
+`
+
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(runMain(m))
+}
+
+// runMain builds the program for the benchmarks only, so that a run of the tests without them costs nothing.
+func runMain(m *testing.M) int {
+	if !strings.Contains(strings.Join(os.Args, " "), "-test.bench=") {
+		return m.Run()
+	}
+	dir, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "coltsfootspur")
+	build := exec.Command("go", "build", "-o", binary, "github.com/coltsfootspur/coltsfootspur/apps/coltsfootspur")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one process of the program under measurement.
+type process struct {
+	command *exec.Cmd
+	admin   string
+}
+
+func startProcess(b *testing.B, admin string, args ...string) *process {
+	b.Helper()
+	command := exec.Command(binary, args...)
+	command.Stderr = os.Stderr
+	if err := command.Start(); err != nil {
+		b.Fatal(err)
+	}
+	p := &process{command: command, admin: admin}
+	b.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	return p
+}
+
+// cpuSeconds returns the processor time that the process has used.
+func (p *process) cpuSeconds(b *testing.B) float64 {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+2:]))
+	ticks := 0
+	for _, f := range fields[11:13] { // utime and stime
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			b.Fatal(err)
+		}
+		ticks += n
+	}
+	return float64(ticks) / ticksPerSec
+}
+
+// residentBytes returns the resident memory of the process.
+func (p *process) residentBytes(b *testing.B) float64 {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.command.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	pages, err := strconv.Atoi(strings.Fields(string(text))[1])
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(pages) * pageSizeBytes
+}
+
+// metrics returns the numbers of the process's own metrics.
+func (p *process) metrics(b *testing.B, role string) map[string]float64 {
+	b.Helper()
+	var all map[string]json.RawMessage
+	p.get(b, "/debug/vars", &all)
+	var own map[string]any
+	if err := json.Unmarshal(all[role], &own); err != nil {
+		b.Fatal(err)
+	}
+	numbers := make(map[string]float64)
+	for name, value := range own {
+		if n, ok := value.(float64); ok {
+			numbers[name] = n
+		}
+	}
+	return numbers
+}
+
+func (p *process) get(b *testing.B, path string, target any) {
+	b.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+p.admin+path, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(target); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// waitReady waits until the process answers at its operator address.
+func (p *process) waitReady(b *testing.B) {
+	b.Helper()
+	waitFor(b, "the process is ready", func() bool {
+		response, err := http.Get("http://" + p.admin + "/readyz")
+		if err != nil {
+			return false
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+func waitFor(b *testing.B, what string, condition func() bool) {
+	b.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			b.Fatalf("timed out waiting until %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(b *testing.B) string {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// deployment is a store and entries as processes of their own.
+type deployment struct {
+	store   string
+	entries []*entryProcess
+}
+
+type entryProcess struct {
+	*process
+	callers, links string
+}
+
+// startDeployment starts a store, entries and the documents of the services.
+func startDeployment(b *testing.B, entries, services int) *deployment {
+	b.Helper()
+	d := &deployment{store: freeAddress(b)}
+	startProcess(b, "", "stand-in", "platform", "--listen", d.store, "--log-level", "error")
+	waitFor(b, "the store listens", func() bool {
+		conn, err := net.Dial("tcp", d.store)
+		if err != nil {
+			return false
+		}
+		return conn.Close() == nil
+	})
+	for i := range services {
+		d.putDocument(b, serviceName(i))
+	}
+	for i := range entries {
+		e := &entryProcess{callers: freeAddress(b), links: freeAddress(b)}
+		admin := freeAddress(b)
+		e.process = startProcess(b, admin, "entry", "--id", fmt.Sprintf("entry-%02d", i), "--data-centre", "dc",
+			"--caller-address", e.callers, "--link-address", e.links, "--admin-address", admin, "--admin-token", token,
+			"--link-token", token, "--store", "http://"+d.store, "--log-level", "error")
+		e.waitReady(b)
+		d.entries = append(d.entries, e)
+	}
+	return d
+}
+
+func serviceName(i int) string { return fmt.Sprintf("%s-%03d", service, i) }
+
+func (d *deployment) putDocument(b *testing.B, name string) {
+	b.Helper()
+	file := filepath.Join(b.TempDir(), "document.yaml")
+	if err := os.WriteFile(file, fmt.Appendf(nil, document, name, name), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	put := exec.CommandContext(ctx, binary, "service", "put", file, "--expect-revision", "0",
+		"--store", "http://"+d.store, "--author", "capacity")
+	if out, err := put.CombinedOutput(); err != nil {
+		b.Fatalf("%s%v", out, err)
+	}
+}
