--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/agent/records"
 	"github.com/coltsfootspur/coltsfootspur/internal/agent/slots"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -19,15 +20,14 @@
 type control struct {
 	agent     *Agent
 	options   *Options
-	list      *wire.EntryList
 	documents documents
-	records   startRecords
-	slots     *slots.Table[attemptID]
-	attempts  map[attemptID]*attempt // taken and without a result
-	held      []*attempt             // wait for a newer document
+	records   *records.Table
+	slots     *slots.Table[records.Ref]
+	attempts  map[records.Ref]*attempt // taken and without a result
+	held      []*attempt               // wait for a newer document
 	acks      []dueAck
-	links     map[*link.Link]struct{}
-	homes     map[home]*homeState
+	links     map[*link.Link]uint64 // digest of documents that the peer sent last
+	homes     map[uint64]*homeState // by incarnation
 	targets   targets
 	leaving   *leaving
 	expireAt  time.Time
@@ -38,13 +38,14 @@
 	c := &control{
 		agent:     a,
 		options:   &a.options,
-		list:      &wire.EntryList{},
 		documents: newDocuments(a.options.Services),
-		records:   newPlainRecords(a.options.Retention),
-		slots:     slots.New[attemptID](min(a.options.Slots, a.options.Connections), a.options.Queue),
-		attempts:  make(map[attemptID]*attempt),
-		links:     make(map[*link.Link]struct{}),
-		homes:     make(map[home]*homeState),
+		records: records.New(records.Config{
+			Retention: a.options.Retention, MaxRecords: a.options.Records, MaxResultBytes: a.options.ResultBytes,
+		}),
+		slots:    slots.New[records.Ref](min(a.options.Slots, a.options.Connections), a.options.Queue),
+		attempts: make(map[records.Ref]*attempt),
+		links:    make(map[*link.Link]uint64),
+		homes:    make(map[uint64]*homeState),
 	}
 	c.targets = newTargets(c)
 	return c
@@ -55,7 +56,7 @@
 	defer close(c.agent.done)
 	defer c.closeLinks()
 	c.calls = ctx
-	c.targets.update(c.now(), c.list)
+	c.targets.update(c.now())
 	timer := c.options.Clock.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/internal/agent/dialler.go
+++ b/internal/agent/dialler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -108,6 +109,6 @@
 		DataCentre: o.DataCentre, Region: o.Region,
 		Services: o.Services, Slots: uint16(min(o.Slots, o.Connections)), Leaving: c.leaving != nil,
 		MemoryMB: o.MemoryMB, Accelerators: o.Accelerators,
-		ListVersion: c.list.Version, DocumentRevisions: c.documents.revisions(),
+		ListVersion: placement.Version(c.records.List()), DocumentRevisions: c.documents.revisions(),
 	}
 }
--- a/internal/agent/documents.go
+++ b/internal/agent/documents.go
@@ -48,6 +48,22 @@
 	return h.Sum64()
 }
 
+// digestReceived is the digest of document revisions in a heartbeat. It covers all services of the deployment, so it
+// differs from that of the agent; a change of it means that some document changed.
+type digestReceived struct {
+	link   *link.Link
+	digest uint64
+}
+
+func (e digestReceived) apply(c *control) {
+	before, open := c.links[e.link]
+	if !open || e.digest == before {
+		return
+	}
+	c.links[e.link] = e.digest
+	c.pullDocuments(e.link)
+}
+
 // documentReceived is a document that an entry pushed.
 type documentReceived struct{ push *wire.DocumentPush }
 
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -85,17 +85,16 @@
 	_ = state.link.Send(&wire.Ping{Sequence: state.confirm})
 }
 
-type pongReceived struct {
-	link *link.Link
-	pong *wire.Pong
+// confirmed is the pong to a ping of ask.
+type confirmed struct {
+	link     *link.Link
+	sequence uint64
 }
 
-func (e pongReceived) apply(c *control) {
-	if e.pong.Sequence&confirmBit != 0 {
-		for _, state := range c.homes {
-			if state.link == e.link && state.confirm == e.pong.Sequence {
-				state.delivered = true
-			}
+func (e confirmed) apply(c *control) {
+	for _, state := range c.homes {
+		if state.link == e.link && state.confirm == e.sequence {
+			state.delivered = true
 		}
 	}
 }
--- a/internal/agent/dump.go
+++ b/internal/agent/dump.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/admin"
+	"github.com/coltsfootspur/coltsfootspur/internal/agent/records"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -22,7 +23,7 @@
 	Documents   map[string]uint64 `json:"documents"`
 	Homes       []HomeDump        `json:"homes"`
 	Attempts    []AttemptDump     `json:"attempts"`
-	Records     int               `json:"records"`
+	Records     records.Stats     `json:"records"`
 }
 
 // HomeDump is one incarnation of an entry.
@@ -75,15 +76,15 @@
 	d := &Dump{
 		ID: c.options.ID, Incarnation: c.agent.incarnation, StartedAt: c.agent.startedAt,
 		Leaving: c.leaving != nil, UpstreamUp: !c.agent.upstreamDown.Load(),
-		List: c.list, Documents: c.documents.revisions(), Records: c.records.Len(),
+		List: c.records.List(), Documents: c.documents.revisions(), Records: c.records.Stats(),
 	}
-	for h, state := range c.homes {
-		d.Homes = append(d.Homes, HomeDump{h.id, h.incarnation, state.link != nil, state.lastResult})
+	for incarnation, state := range c.homes {
+		d.Homes = append(d.Homes, HomeDump{state.id, incarnation, state.link != nil, state.lastResult})
 	}
-	for id, a := range c.attempts {
+	for _, a := range c.attempts {
 		s := a.start
 		d.Attempts = append(d.Attempts, AttemptDump{
-			Home: id.home.id, Attempt: id.number, Key: hex.EncodeToString(s.Key[:]), Task: s.Task,
+			Home: s.Home, Attempt: s.Attempt, Key: hex.EncodeToString(s.Key[:]), Task: s.Task,
 			Service: s.Service, Kind: s.Kind, Urgent: s.Urgent, Long: s.Long,
 			Received: a.received, Deadline: a.deadline, Began: a.began,
 		})
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -20,6 +21,7 @@
 
 // homeState is what the agent knows about one incarnation of an entry.
 type homeState struct {
+	id         string
 	link       *link.Link // newest link; nil while there is none
 	linkedAt   time.Time
 	lastResult time.Time
@@ -43,11 +45,11 @@
 }
 
 func (e linkUp) apply(c *control) {
-	peer := homeOf(e.link)
-	c.links[e.link] = struct{}{}
-	c.route(peer, e.link)
-	c.options.Log.WithField("entry", peer.id).Info("agent: linked to entry")
-	c.targets.learn(e.address, peer.id)
+	peer := e.link.Peer().Hello
+	c.links[e.link] = 0
+	c.route(peer.Incarnation, e.link)
+	c.options.Log.WithField("entry", peer.ID).Info("agent: linked to entry")
+	c.targets.learn(e.address, peer.ID)
 	if e.welcome.List != nil {
 		c.adopt(e.welcome.List)
 	}
@@ -67,7 +69,7 @@
 
 func (e linkDown) apply(c *control) {
 	delete(c.links, e.link)
-	c.options.Log.WithField("entry", homeOf(e.link).id).WithError(e.cause).Info("agent: link to entry closed")
+	c.options.Log.WithField("entry", e.link.Peer().Hello.ID).WithError(e.cause).Info("agent: link to entry closed")
 	for _, state := range c.homes {
 		if state.link != e.link {
 			continue
@@ -76,21 +78,16 @@
 		state.confirm = 0
 	}
 	for l := range c.links { // an older link may still be open
-		c.routeIfNone(homeOf(l), l)
+		c.routeIfNone(l)
 	}
 }
 
-func homeOf(l *link.Link) home {
-	hello := l.Peer().Hello
-	return home{hello.ID, hello.Incarnation}
-}
-
 // route makes the link the one on which the home gets its results.
-func (c *control) route(h home, l *link.Link) {
-	state := c.homes[h]
+func (c *control) route(incarnation uint64, l *link.Link) {
+	state := c.homes[incarnation]
 	if state == nil {
-		state = &homeState{}
-		c.homes[h] = state
+		state = &homeState{id: l.Peer().Hello.ID}
+		c.homes[incarnation] = state
 	}
 	if state.link == l {
 		return
@@ -100,30 +97,44 @@
 	state.confirm = 0
 }
 
-func (c *control) routeIfNone(h home, l *link.Link) {
-	if state := c.homes[h]; state == nil || state.link == nil {
-		c.route(h, l)
+func (c *control) routeIfNone(l *link.Link) {
+	incarnation := l.Peer().Hello.Incarnation
+	if state := c.homes[incarnation]; state == nil || state.link == nil {
+		c.route(incarnation, l)
 	}
 }
 
 // expireHomes forgets homes that have had no link and no result for the retention window.
 func (c *control) expireHomes(now time.Time) {
-	for h, state := range c.homes {
+	for incarnation, state := range c.homes {
 		if state.link == nil && now.Sub(state.lastResult) > c.options.Retention && now.Sub(state.linkedAt) > c.options.Retention {
-			delete(c.homes, h)
+			delete(c.homes, incarnation)
 		}
 	}
 }
 
-// adopt replaces the list of entries by one with a higher version.
+// adopt replaces the list of entries by one with a higher version. Waiting attempts of keyed jobs whose home is no
+// member any more are refused, so that another home can run those jobs.
 func (c *control) adopt(list *wire.EntryList) {
-	if list.Version <= c.list.Version {
+	if !c.records.Adopt(list) {
 		return
 	}
-	c.list = list
 	c.agent.versions.list.Store(list.Version)
 	c.options.Log.WithField("version", list.Version).Info("agent: adopted list of entries")
-	c.targets.update(c.now(), list)
+	c.targets.update(c.now())
+	c.fenceWaiting(list)
+}
+
+func (c *control) fenceWaiting(list *wire.EntryList) {
+	for _, a := range c.attempts {
+		if !a.waits() || a.start.ListVersion == 0 {
+			continue
+		}
+		if _, ok := placement.Find(list, a.start.Home, a.start.HomeIncarnation); !ok {
+			c.drop(a)
+			c.refuse(a, wire.RefusedFenced)
+		}
+	}
 }
 
 // handler turns the messages of a link into events. It implements link.Handler.
@@ -139,15 +150,22 @@
 	case *wire.Start:
 		h.agent.post(startReceived{l, m, now})
 	case *wire.Cancel:
-		h.agent.post(cancelReceived{homeOf(l), m})
+		h.agent.post(cancelReceived{l, m, now})
 	case *wire.Query:
-		h.agent.post(queryReceived{homeOf(l), m, now})
+		h.agent.post(queryReceived{l, m, now})
+	case *wire.Collect:
+		h.agent.post(collectReceived{l, m, now})
 	case *wire.EntryList:
 		h.agent.post(listReceived{m})
 	case *wire.DocumentPush:
 		h.agent.post(documentReceived{m})
+	case *wire.Ping:
+		h.agent.post(digestReceived{l, m.DocumentDigest})
 	case *wire.Pong:
-		h.agent.post(pongReceived{l, m})
+		h.agent.post(digestReceived{l, m.DocumentDigest})
+		if m.Sequence&confirmBit != 0 {
+			h.agent.post(confirmed{l, m.Sequence})
+		}
 	}
 }
 
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -9,10 +9,10 @@
 )
 
 // metrics are the counters of one agent. Starts are attempts that were taken; every one of them ends as a result.
-// Results also count refusals of attempts that were not taken, and results that were sent again.
+// Results also count refusals of attempts that were not taken. Resent counts answers to queries.
 type metrics struct {
-	starts, running, queued, links, records *expvar.Int
-	refusals, results                       *expvar.Map
+	starts, running, queued, links, records, resent *expvar.Int
+	refusals, results                               *expvar.Map
 }
 
 func newMetrics(vars *admin.Vars, stats *link.Stats) *metrics {
@@ -23,14 +23,18 @@
 	vars.Func("silent_links", func() any { return stats.Silent.Load() })
 	return &metrics{
 		starts: vars.Int("starts"), running: vars.Int("running"), queued: vars.Int("queued"),
-		links: vars.Int("links"), records: vars.Int("records"),
+		links: vars.Int("links"), records: vars.Int("records"), resent: vars.Int("resent"),
 		refusals: vars.Map("refusals"), results: vars.Map("results"),
 	}
 }
 
-func (m *metrics) countRefusal(reason wire.RefusalReason) { m.refusals.Add(reasonName(reason), 1) }
-
-func (m *metrics) countResult(state wire.AttemptState) { m.results.Add(stateName(state), 1) }
+// count counts a new result.
+func (m *metrics) count(result *wire.Result) {
+	m.results.Add(stateName(result.State), 1)
+	if result.State == wire.AttemptRefused {
+		m.refusals.Add(reasonName(result.Reason), 1)
+	}
+}
 
 // observe sets the gauges.
 func (m *metrics) observe(c *control) {
@@ -38,7 +42,7 @@
 	m.running.Set(int64(load.Running))
 	m.queued.Set(int64(load.Queued))
 	m.links.Set(int64(len(c.links)))
-	m.records.Set(int64(c.records.Len()))
+	m.records.Set(int64(c.records.Stats().Records))
 }
 
 var reasonNames = [...]string{
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -19,11 +19,14 @@
 	MaxConnections     = 65_535
 	// DefaultQueue is the number of tasks that wait at the agent. Each entry keeps about one task there to hide the
 	// latency of a round trip, and several entries do so at once.
-	DefaultQueue       = 4
-	MaxQueue           = 1024
-	DefaultRetention   = 10 * time.Minute
-	MinRetention       = time.Second
-	MaxRetention       = 24 * time.Hour
+	DefaultQueue     = 4
+	MaxQueue         = 1024
+	DefaultRetention = 10 * time.Minute
+	MinRetention     = time.Second
+	MaxRetention     = 24 * time.Hour
+	// DefaultRecords holds the records of 300 starts/s for the default retention and the longest deadline.
+	DefaultRecords     = 200_000
+	MaxRecords         = 10_000_000
 	DefaultResultBytes = 64 << 20
 	DefaultStopTimeout = 75 * time.Second
 	MaxStopTimeout     = 10 * time.Minute
@@ -58,8 +61,10 @@
 	Accelerators uint16
 	// Retention is how long start records are kept; 0 means DefaultRetention. It must be the same for all processes.
 	Retention time.Duration
+	// Records bounds the number of start records; 0 means DefaultRecords. A full table refuses starts.
+	Records int
 	// ResultBytes bounds the bytes of recorded results; 0 means DefaultResultBytes.
-	ResultBytes int64
+	ResultBytes int
 	// StopTimeout bounds the graceful shutdown; 0 means DefaultStopTimeout.
 	StopTimeout time.Duration
 	// AdminAddress is the host:port of the operator endpoints; when it is empty they are off.
@@ -92,6 +97,7 @@
 		{o.Connections >= 1 && o.Connections <= MaxConnections, "Connections is out of range"},
 		{o.Queue >= 0 && o.Queue <= MaxQueue, "Queue is out of range"},
 		{o.Retention >= MinRetention && o.Retention <= MaxRetention, "Retention is out of range"},
+		{o.Records >= 1 && o.Records <= MaxRecords, "Records is out of range"},
 		{o.ResultBytes > 0, "ResultBytes is out of range"},
 		{o.StopTimeout > 0 && o.StopTimeout <= MaxStopTimeout, "StopTimeout is out of range"},
 		{o.AdminAddress == "" || o.AdminToken != "", "AdminToken is not set"},
@@ -112,6 +118,7 @@
 	setDefault(&o.Connections, DefaultConnections)
 	setDefault(&o.Queue, DefaultQueue)
 	setDefault(&o.Retention, DefaultRetention)
+	setDefault(&o.Records, DefaultRecords)
 	setDefault(&o.ResultBytes, DefaultResultBytes)
 	setDefault(&o.StopTimeout, DefaultStopTimeout)
 	if o.Log == nil {
@@ -125,7 +132,7 @@
 	}
 }
 
-func setDefault[T int | int64 | time.Duration](target *T, fallback T) {
+func setDefault[T int | time.Duration](target *T, fallback T) {
 	if *target == 0 {
 		*target = fallback
 	}
--- a/internal/agent/results.go
+++ b/internal/agent/results.go
@@ -2,15 +2,17 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/agent/records"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
 // callEnded is the end of a call to the upstream.
 type callEnded struct {
-	id       attemptID
+	id       records.Ref
 	response *Response
 	err      error
 	expired  bool // the deadline passed during the call
@@ -22,78 +24,88 @@
 	if a == nil {
 		return
 	}
+	c.noteReachable(e)
+	if reason := e.refusal(); reason != wire.RefusedNone {
+		c.refuse(a, reason)
+		return
+	}
 	result := e.result()
+	result.Attempt = e.id.Attempt
 	result.QueuedMicros = micros(a.began.Sub(a.received))
 	result.ServiceMicros = micros(c.now().Sub(a.began))
-	c.noteReachable(!errors.Is(e.err, ErrNotReached) || e.expired, e.err)
-	c.finish(e.id, result)
+	delete(c.attempts, e.id)
+	c.records.Finish(c.now(), e.id, result)
+	c.agent.metrics.count(result)
+	c.send(e.id.HomeIncarnation, result)
 }
 
-// result converts the answer or the error of the upstream.
-func (e callEnded) result() *wire.Result {
+// refusal returns why the attempt counts as not started, or RefusedNone when the upstream may have run it.
+func (e callEnded) refusal() wire.RefusalReason {
 	switch {
-	case e.err == nil:
-		r := e.response
-		return &wire.Result{State: wire.AttemptDone, Status: r.Status, Headers: r.Headers, Body: r.Body}
 	case errors.Is(e.err, ErrInvalidRequest):
-		return &wire.Result{State: wire.AttemptRefused, Reason: wire.RefusedInvalid, Error: e.err.Error()}
+		return wire.RefusedInvalid
 	case errors.Is(e.err, ErrNotReached) && e.expired:
-		return &wire.Result{State: wire.AttemptRefused, Reason: wire.RefusedExpired}
+		return wire.RefusedExpired
 	case errors.Is(e.err, ErrNotReached):
-		return &wire.Result{State: wire.AttemptRefused, Reason: wire.RefusedDown, Error: e.err.Error()}
+		return wire.RefusedDown
 	default:
+		return wire.RefusedNone
+	}
+}
+
+func (e callEnded) result() *wire.Result {
+	if e.err != nil {
 		return &wire.Result{State: wire.AttemptUnknown, Error: e.err.Error()}
 	}
+	r := e.response
+	return &wire.Result{State: wire.AttemptDone, Status: r.Status, Headers: r.Headers, Body: r.Body}
 }
 
 func micros(d time.Duration) uint32 {
 	return uint32(min(max(d.Microseconds(), 0), 1<<32-1))
 }
 
-// noteReachable logs when the upstream becomes unreachable or reachable.
-func (c *control) noteReachable(reachable bool, cause error) {
-	if c.agent.upstreamDown.Swap(!reachable) == !reachable {
+// noteReachable logs when the upstream becomes unreachable or reachable. A call that ends before a connection was made
+// because its own deadline passed tells nothing.
+func (c *control) noteReachable(e callEnded) {
+	down := errors.Is(e.err, ErrNotReached)
+	if down && e.expired || errors.Is(e.err, ErrInvalidRequest) {
 		return
 	}
-	if reachable {
-		c.options.Log.Info("agent: upstream is reachable again")
+	if c.agent.upstreamDown.Swap(down) == down {
 		return
 	}
-	c.options.Log.WithError(cause).Warn("agent: upstream is not reachable")
-}
-
-func (c *control) refuse(id attemptID, reason wire.RefusalReason) {
-	c.finish(id, &wire.Result{State: wire.AttemptRefused, Reason: reason})
+	if down {
+		c.options.Log.WithError(e.err).Warn("agent: upstream is not reachable")
+		return
+	}
+	c.options.Log.Info("agent: upstream is reachable again")
 }
 
-// finish records the result of an attempt and sends it.
-func (c *control) finish(id attemptID, result *wire.Result) {
-	result.Attempt = id.number
-	if result.State == wire.AttemptRefused {
-		c.countRefusal(result.Reason)
+// refuse ends an attempt of which nothing was sent to the upstream.
+func (c *control) refuse(a *attempt, reason wire.RefusalReason) {
+	delete(c.attempts, a.id)
+	result := c.records.Refuse(c.now(), a.id, reason)
+	if result == nil {
+		return
 	}
-	c.records.Finish(c.now(), id, result)
-	delete(c.attempts, id)
-	c.send(id, result)
+	c.agent.metrics.count(result)
+	c.send(a.id.HomeIncarnation, result)
 }
 
 // send sends a recorded result to its home. The record stays, so a lost message is answered by a later Query.
-func (c *control) send(id attemptID, recorded *wire.Result) {
-	result := *recorded
-	result.Attempt = id.number
+func (c *control) send(incarnation uint64, result *wire.Result) {
 	result.Load = c.load()
-	if result.Reason == wire.RefusedStaleList || result.Reason == wire.RefusedFenced {
-		result.List = c.list
+	c.sendTo(incarnation, result)
+	if state := c.homes[incarnation]; state != nil {
+		state.noteResult(c.now())
 	}
-	c.agent.metrics.countResult(result.State)
-	c.sendTo(id.home, &result)
-	c.homes[id.home].noteResult(c.now())
 }
 
 // sendTo sends a message on the newest link of a home. A link that takes no more messages is closed, so that the home
 // queries its attempts on a new one.
-func (c *control) sendTo(h home, m wire.Message) {
-	state := c.homes[h]
+func (c *control) sendTo(incarnation uint64, m wire.Message) {
+	state := c.homes[incarnation]
 	if state == nil || state.link == nil {
 		return
 	}
@@ -102,69 +114,46 @@
 	}
 }
 
-func (c *control) countRefusal(reason wire.RefusalReason) { c.agent.metrics.countRefusal(reason) }
-
-// cancelReceived removes attempts that have not started.
+// cancelReceived asks for attempts not to start. Running ones go on.
 type cancelReceived struct {
-	home    home
+	link    *link.Link
 	message *wire.Cancel
+	at      time.Time
 }
 
 func (e cancelReceived) apply(c *control) {
-	for _, number := range e.message.Attempts {
-		id := attemptID{e.home, number}
-		a := c.attempts[id]
-		switch {
-		case a == nil:
-			c.cancelUnseen(id)
-		case a.began.IsZero():
+	incarnation := e.link.Peer().Hello.Incarnation
+	for _, result := range c.records.Cancel(e.at, incarnation, e.message.Attempts) {
+		id := records.Ref{HomeIncarnation: incarnation, Attempt: result.Attempt}
+		if a := c.attempts[id]; a != nil {
 			c.drop(a)
-			c.refuse(id, wire.RefusedCancelled)
+			delete(c.attempts, id)
 		}
+		c.agent.metrics.count(result)
+		c.send(incarnation, result)
 	}
 }
 
-// cancelUnseen records the cancellation of an attempt whose Start has not arrived, so that it cannot start later.
-func (c *control) cancelUnseen(id attemptID) {
-	if _, ok := c.records.Lookup(id); !ok {
-		c.refuse(id, wire.RefusedCancelled)
-	}
-}
-
-// drop removes an attempt that waits.
+// drop removes an attempt that waits from the queue or from those that wait for a document.
 func (c *control) drop(a *attempt) {
 	c.slots.Cancel(a.id)
-	for i, h := range c.held {
-		if h == a {
-			c.held = append(c.held[:i:i], c.held[i+1:]...)
-			return
-		}
-	}
+	c.held = slices.DeleteFunc(c.held, func(h *attempt) bool { return h == a })
 }
 
 // queryReceived asks for the state of open attempts.
 type queryReceived struct {
-	home    home
+	link    *link.Link
 	message *wire.Query
 	at      time.Time
 }
 
 func (e queryReceived) apply(c *control) {
-	reply := &wire.QueryReply{}
-	for _, number := range e.message.Attempts {
-		id := attemptID{e.home, number}
-		a := c.attempts[id]
-		switch {
-		case a == nil:
-			result, _ := c.records.Query(e.at, id)
-			c.send(id, result)
-		case a.began.IsZero():
-			reply.Queued = append(reply.Queued, number)
-		default:
-			reply.Running = append(reply.Running, number)
-		}
-	}
-	if len(reply.Queued)+len(reply.Running) > 0 {
-		c.sendTo(e.home, reply)
+	incarnation := e.link.Peer().Hello.Incarnation
+	c.route(incarnation, e.link)
+	reply, results := c.records.Query(e.at, incarnation, e.message.Attempts)
+	for _, result := range results {
+		c.agent.metrics.resent.Add(1)
+		c.send(incarnation, result)
 	}
+	c.sendTo(incarnation, reply)
 }
--- a/internal/agent/slots/slots.go
+++ b/internal/agent/slots/slots.go
@@ -83,6 +83,11 @@
 	return Queued
 }
 
+// Full reports whether Add would return Busy.
+func (t *Table[ID]) Full(task Task[ID]) bool {
+	return (!t.fits(task) || t.overtakes(task)) && !t.mayQueue(task)
+}
+
 // Done frees the slot of a running task. Unknown tasks are ignored.
 func (t *Table[ID]) Done(id ID) {
 	task, ok := t.running[id]
--- a/internal/agent/starts.go
+++ b/internal/agent/starts.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/agent/records"
 	"github.com/coltsfootspur/coltsfootspur/internal/agent/slots"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -23,7 +24,7 @@
 
 // attempt is a start that the agent has taken and that has no result yet.
 type attempt struct {
-	id        attemptID
+	id        records.Ref
 	start     *wire.Start
 	received  time.Time
 	deadline  time.Time
@@ -31,9 +32,12 @@
 	holdUntil time.Time
 }
 
+// waits reports whether the attempt has not begun.
+func (a *attempt) waits() bool { return a.began.IsZero() }
+
 type dueAck struct {
 	at time.Time
-	id attemptID
+	id records.Ref
 }
 
 // startReceived is a Start that arrived on a link.
@@ -45,62 +49,50 @@
 
 func (e startReceived) apply(c *control) {
 	s := e.start
-	id := attemptID{home{s.Home, s.HomeIncarnation}, s.Attempt}
 	if s.Home != e.link.Peer().Hello.ID {
 		e.link.Close(errWrongHome)
 		return
 	}
-	c.route(id.home, e.link)
+	c.route(s.HomeIncarnation, e.link)
 	if c.leaving != nil {
 		c.leaving.lastStart = e.at
 	}
-	if c.attempts[id] != nil {
-		return // the same message arrived twice; its result will follow
-	}
-	if result, ok := c.records.Lookup(id); ok {
-		c.send(id, result)
-		return
-	}
-	if reason := c.check(s); reason != wire.RefusedNone {
-		c.refuse(id, reason)
-		return
+	a := &attempt{id: records.RefOf(s), start: s, received: e.at, deadline: e.at.Add(budget(s))}
+	admission := c.records.Admit(e.at, s, c.localReason(a))
+	switch admission.Verdict {
+	case records.Run:
+		c.take(a)
+	case records.Reply:
+		c.agent.metrics.count(admission.Result)
+		c.send(a.id.HomeIncarnation, admission.Result)
+	case records.Open:
+		c.sendTo(s.HomeIncarnation, &wire.Accepted{Attempts: []uint64{s.Attempt}})
 	}
-	if refusal := c.records.Admit(e.at, id, s); refusal != nil {
-		c.countRefusal(refusal.Reason)
-		c.send(id, refusal)
-		return
-	}
-	c.take(&attempt{id: id, start: s, received: e.at, deadline: e.at.Add(budget(s))})
 }
 
 func budget(s *wire.Start) time.Duration {
 	return min(time.Duration(s.BudgetMillis)*time.Millisecond, wire.MaxDeadline)
 }
 
-// check returns why a start must not run, apart from what the records and the slots say.
-func (c *control) check(s *wire.Start) wire.RefusalReason {
+// localReason returns why the agent itself cannot take an attempt, whatever its records say.
+func (c *control) localReason(a *attempt) wire.RefusalReason {
 	switch {
-	case !slices.Contains(c.options.Services, s.Service):
+	case !slices.Contains(c.options.Services, a.start.Service):
 		return wire.RefusedInvalid
 	case c.leaving != nil:
 		return wire.RefusedLeaving
-	case s.BudgetMillis == 0:
+	case a.start.BudgetMillis == 0:
 		return wire.RefusedExpired
-	case s.ListVersion == 0:
-		return wire.RefusedNone // a job without a caller's key
-	case s.ListVersion < c.list.Version:
-		return wire.RefusedStaleList
-	case c.list.Version > 0 && !isMember(c.list, home{s.Home, s.HomeIncarnation}):
-		return wire.RefusedFenced
+	case c.slots.Full(a.task()), len(c.held) >= c.options.Slots+c.options.Queue:
+		return wire.RefusedBusy
 	default:
 		return wire.RefusedNone
 	}
 }
 
-func isMember(list *wire.EntryList, h home) bool {
-	return slices.ContainsFunc(list.Members, func(m wire.Member) bool {
-		return m.ID == h.id && m.Incarnation == h.incarnation
-	})
+func (a *attempt) task() slots.Task[records.Ref] {
+	s := a.start
+	return slots.Task[records.Ref]{ID: a.id, Service: s.Service, Urgent: s.Urgent, Long: s.Long, Deadline: a.deadline}
 }
 
 // take holds the attempt until its document is there or gives it to the slots.
@@ -112,25 +104,17 @@
 		c.enqueue(a)
 		return
 	}
-	if len(c.held) >= c.options.Slots+c.options.Queue {
-		c.refuse(a.id, wire.RefusedBusy)
-		return
-	}
 	a.holdUntil = a.received.Add(documentWait)
 	c.held = append(c.held, a)
-	c.pullDocuments(c.homes[a.id.home].link)
+	c.pullDocuments(c.homes[a.id.HomeIncarnation].link)
 }
 
 func (c *control) enqueue(a *attempt) {
-	s := a.start
-	outcome := c.slots.Add(slots.Task[attemptID]{
-		ID: a.id, Service: s.Service, Urgent: s.Urgent, Long: s.Long, Deadline: a.deadline,
-	})
-	switch outcome {
+	switch c.slots.Add(a.task()) {
 	case slots.Running:
 		c.call(a)
 	case slots.Busy:
-		c.refuse(a.id, wire.RefusedBusy)
+		c.refuse(a, wire.RefusedBusy)
 	}
 }
 
@@ -167,7 +151,7 @@
 func (c *control) startWaiting(now time.Time) {
 	start, expired := c.slots.Next(now)
 	for _, task := range expired {
-		c.refuse(task.ID, wire.RefusedExpired)
+		c.refuse(c.attempts[task.ID], wire.RefusedExpired)
 	}
 	for _, task := range start {
 		c.call(c.attempts[task.ID])
@@ -177,7 +161,17 @@
 // call starts the call to the upstream in a goroutine of its own.
 func (c *control) call(a *attempt) {
 	a.began = c.now()
-	c.records.Running(a.id)
+	if !a.deadline.After(a.began) {
+		c.slots.Done(a.id)
+		c.refuse(a, wire.RefusedExpired)
+		return
+	}
+	if !c.records.Running(a.id) {
+		c.options.Log.WithField("attempt", a.id.Attempt).Error("agent: attempt is not open in the start records")
+		c.slots.Done(a.id)
+		delete(c.attempts, a.id)
+		return
+	}
 	s := a.start
 	request := Request{
 		Key: s.Key, Task: s.Task, Attempt: s.Attempt,
@@ -197,15 +191,15 @@
 	if len(c.acks) == 0 || now.Before(c.acks[0].at) {
 		return
 	}
-	due := make(map[home][]uint64)
+	due := make(map[uint64][]uint64)
 	for len(c.acks) > 0 && !now.Add(ackSlack).Before(c.acks[0].at) {
 		id := c.acks[0].id
 		c.acks = c.acks[1:]
 		if c.attempts[id] != nil {
-			due[id.home] = append(due[id.home], id.number)
+			due[id.HomeIncarnation] = append(due[id.HomeIncarnation], id.Attempt)
 		}
 	}
-	for h, numbers := range due {
-		c.sendTo(h, &wire.Accepted{Attempts: numbers})
+	for incarnation, attempts := range due {
+		c.sendTo(incarnation, &wire.Accepted{Attempts: attempts})
 	}
 }
--- a/internal/agent/targets.go
+++ b/internal/agent/targets.go
@@ -31,7 +31,8 @@
 
 // update starts and stops diallers after a change of the list. An entry that was expelled is dialled for the retention
 // window, since it may still own attempts; one that left cleanly is not.
-func (t *targets) update(now time.Time, list *wire.EntryList) {
+func (t *targets) update(now time.Time) {
+	list := t.list()
 	wanted := t.wanted(list)
 	for address, id := range wanted {
 		t.start(address, id)
@@ -55,7 +56,7 @@
 	}
 	if slices.Contains(t.control.options.Entries, address) {
 		t.aliases[address] = id
-		t.update(t.control.now(), t.control.list)
+		t.update(t.control.now())
 	}
 }
 
@@ -68,6 +69,14 @@
 	}
 }
 
+// list returns the list of entries; it is empty before the first was adopted.
+func (t *targets) list() *wire.EntryList {
+	if list := t.control.records.List(); list != nil {
+		return list
+	}
+	return &wire.EntryList{}
+}
+
 func (t *targets) wanted(list *wire.EntryList) map[string]string {
 	wanted := make(map[string]string)
 	listed := make(map[string]bool)
--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -35,6 +35,7 @@
 	set.Int(&s.accelerators, "accelerators", 0, 0, math.MaxUint16, "accelerators that the worker offers to tasks")
 	set.Duration(&o.Retention, "retention", agent.DefaultRetention, agent.MinRetention, agent.MaxRetention,
 		"how long start records are kept; the same for all processes")
+	set.Int(&o.Records, "records", agent.DefaultRecords, 1, agent.MaxRecords, "most start records that are kept")
 	set.Int(&s.resultMB, "result-mb", agent.DefaultResultBytes>>20, 1, 1<<16, "memory in MiB for recorded results")
 	set.Duration(&o.StopTimeout, "stop-timeout", defaultStopTimeout, minStopTimeout, maxStopTimeout,
 		"longest wait of a graceful shutdown")
@@ -60,7 +61,7 @@
 		s.options.Log = s.log.logger(std.err)
 		s.options.MemoryMB = uint32(s.memoryMB)
 		s.options.Accelerators = uint16(s.accelerators)
-		s.options.ResultBytes = int64(s.resultMB) << 20
+		s.options.ResultBytes = s.resultMB << 20
 		a, err := agent.New(s.options)
 		if err != nil {
 			return usageError(std, err)
--- a/internal/link/handshake.go
+++ b/internal/link/handshake.go
@@ -29,7 +29,7 @@
 		DataCentre: welcome.DataCentre, Region: welcome.Region, DocumentRevisions: welcome.DocumentRevisions,
 	}}
 	if welcome.HeartbeatMillis > 0 {
-		options.Heartbeat = time.Duration(welcome.HeartbeatMillis) * time.Millisecond
+		options.Heartbeat = max(options.Heartbeat, time.Duration(welcome.HeartbeatMillis)*time.Millisecond)
 	}
 	return newLink(conn, peer, options), welcome, nil
 }
--- a/internal/link/heartbeat.go
+++ b/internal/link/heartbeat.go
@@ -5,15 +5,21 @@
 // Budget for heartbeats. A process with many links lengthens the interval, so that pings and pongs on idle links stay
 // within heartbeatShare of the control budget.
 const (
-	minHeartbeat     = 2 * time.Second
-	controlBudget    = 5_000 // bytes per second
-	heartbeatShare   = 0.6
-	heartbeatBytes   = 190 // one ping, one pong and their TCP acknowledgements, with TCP and IP headers
+	minHeartbeat   = 2 * time.Second
+	controlBudget  = 5_000 // bytes per second
+	heartbeatShare = 0.6
+	// heartbeatBytes is the largest size of one ping, one pong and the acknowledgement of the pong, with the headers of
+	// WebSocket, TCP with time stamps, and IP. The pong carries the acknowledgement of the ping.
+	heartbeatBytes   = 224
 	silentIntervals  = 3
 	writeTimeout     = 10 * time.Second
 	handshakeTimeout = 5 * time.Second
 )
 
+// acceptorDelay is the factor by which the accepting side waits longer than the dialling side before it pings. With
+// equal delays both sides ping at about the same moment, which doubles the traffic of idle links.
+const acceptorDelay = 1.5
+
 // HeartbeatInterval returns the interval of pings on an idle link for a process with n links.
 func HeartbeatInterval(n int) time.Duration {
 	seconds := float64(n) * heartbeatBytes / (controlBudget * heartbeatShare)
--- /dev/null
+++ b/internal/link/heartbeat_test.go
@@ -0,0 +1,161 @@
+package link_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Sizes of the headers below WebSocket on an IPv4 path with TCP time stamps.
+const (
+	tcpAndIP     = 52
+	maskedHeader = 6
+	plainHeader  = 2
+)
+
+// Guards against heartbeats that exceed their share of the control budget, and against an estimate of their size that
+// no longer matches the messages.
+func TestHeartbeatsStayWithinTheControlBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const large = 1<<32 - 1
+	ping, err := wire.Encode(&wire.Ping{Sequence: large, ListVersion: large, DocumentDigest: 1<<64 - 1})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	pong, err := wire.Encode(&wire.Pong{Sequence: large, ListVersion: large, DocumentDigest: 1<<64 - 1, HeartbeatMillis: 1 << 20})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	round := len(ping) + maskedHeader + tcpAndIP + len(pong) + plainHeader + tcpAndIP + tcpAndIP
+	const budget = 0.6 * 5_000 // bytes per second
+	for _, links := range []int{1, 10, 26, 27, 100, 730, 800} {
+		perSecond := float64(links*round) / link.HeartbeatInterval(links).Seconds()
+		g.Expect(perSecond).To(gomega.BeNumerically("<=", budget), "%d links", links)
+	}
+	g.Expect(link.HeartbeatInterval(26)).To(gomega.Equal(2 * time.Second))
+}
+
+// memoryConn is one end of a connection in memory. A muted end loses what is written to it.
+type memoryConn struct {
+	in, out chan []byte
+	closed  chan struct{}
+	once    *sync.Once
+	muted   chan struct{}
+}
+
+func memoryPair() (a, b *memoryConn) {
+	x, y := make(chan []byte, 64), make(chan []byte, 64)
+	closed, once, muted := make(chan struct{}), &sync.Once{}, make(chan struct{})
+	return &memoryConn{x, y, closed, once, muted}, &memoryConn{y, x, closed, once, muted}
+}
+
+func (c *memoryConn) ReadFrame(ctx context.Context) ([]byte, error) {
+	select {
+	case frame := <-c.in:
+		return frame, nil
+	case <-c.closed:
+		return nil, link.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *memoryConn) WriteFrame(_ context.Context, frame []byte) error {
+	select {
+	case <-c.muted:
+		return nil
+	default:
+	}
+	select {
+	case c.out <- frame:
+		return nil
+	case <-c.closed:
+		return link.ErrClosed
+	}
+}
+
+func (c *memoryConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+type memoryDialer struct{ conn link.Conn }
+
+func (d memoryDialer) Dial(context.Context, string) (link.Conn, error) { return d.conn, nil }
+
+// memoryLinks returns a pair of links in memory whose time is the fake clock.
+func memoryLinks(t *testing.T, fake *clock.Fake, heartbeat time.Duration) (near, far *link.Link, mute chan struct{}, stats *link.Stats) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	a, b := memoryPair()
+	stats = &link.Stats{}
+	accepted := make(chan *link.Link, 1)
+	go func() {
+		welcome := func(*wire.Hello) *wire.Welcome {
+			return &wire.Welcome{ID: "e1", HeartbeatMillis: uint32(heartbeat.Milliseconds())}
+		}
+		l, _ := link.Accept(context.Background(), b, welcome, link.Options{Clock: fake, Stats: &link.Stats{}})
+		accepted <- l
+	}()
+	near, _, err := link.Dial(context.Background(), memoryDialer{a}, "", wire.Hello{}, link.Options{Clock: fake, Stats: stats})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	far = <-accepted
+	near.Start(&recorder{})
+	far.Start(&recorder{})
+	t.Cleanup(func() { near.Close(link.ErrClosed); far.Close(link.ErrClosed) })
+	return near, far, a.muted, stats
+}
+
+// advance moves the fake clock in small steps and lets the goroutines of the links follow.
+func advance(fake *clock.Fake, total, step time.Duration) {
+	for ; total > 0; total -= step {
+		fake.Advance(step)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against both ends pinging at the same moment, which doubles the traffic of idle links, and against a link that
+// is taken for silent although it is only idle.
+func TestIdleLinkCarriesOnePingPerInterval(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fake := clock.NewFake(time.Unix(1_700_000_000, 0))
+	const interval = 4 * time.Second
+	near, far, _, stats := memoryLinks(t, fake, interval)
+	const intervals = 30
+	advance(fake, intervals*interval, interval/16)
+	g.Expect(near.Cause()).To(gomega.BeNil())
+	g.Expect(far.Cause()).To(gomega.BeNil())
+	frames := stats.SentFrames[link.Control].Load() + stats.ReceivedFrames[link.Control].Load()
+	g.Expect(frames).To(gomega.BeNumerically("<=", 2*intervals))
+	g.Expect(frames).To(gomega.BeNumerically(">=", intervals))
+}
+
+// Guards against a silent idle link that is kept for longer than three intervals, or closed before.
+func TestSilentIdleLinkIsClosedAfterThreeIntervals(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fake := clock.NewFake(time.Unix(1_700_000_000, 0))
+	const interval = 4 * time.Second
+	near, far, mute, _ := memoryLinks(t, fake, interval)
+	close(mute)
+	advance(fake, 3*interval-interval/2, interval/16)
+	g.Expect(near.Cause()).To(gomega.BeNil())
+	g.Expect(far.Cause()).To(gomega.BeNil())
+	advance(fake, interval, interval/16)
+	eventually(t, func() bool { return near.Cause() != nil && far.Cause() != nil }, "both ends close")
+}
+
+// Guards against a dialling side that keeps the interval of the handshake when the acceptor has more links since.
+func TestPongCarriesTheNewInterval(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fake := clock.NewFake(time.Unix(1_700_000_000, 0))
+	const before, after = 2 * time.Second, 20 * time.Second
+	_, far, _, stats := memoryLinks(t, fake, before)
+	far.SetHeartbeat(after)
+	advance(fake, 2*before, before/16)
+	sent := stats.SentFrames[link.Control].Load()
+	advance(fake, 5*after, after/32)
+	g.Expect(stats.SentFrames[link.Control].Load() - sent).To(gomega.BeNumerically("<=", 6))
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -53,7 +53,9 @@
 	handler Handler
 
 	heartbeat    atomic.Int64 // interval in nanoseconds
-	lastReceived atomic.Int64 // nanoseconds since the Unix epoch
+	created      time.Time
+	lastReceived atomic.Int64 // nanoseconds since created, so that a step of the wall clock closes no link
+	received     atomic.Uint64
 	pingSequence atomic.Uint64
 
 	mu     sync.Mutex
@@ -69,7 +71,7 @@
 func newLink(conn Conn, peer Peer, options Options) *Link {
 	l := &Link{
 		peer: peer, conn: conn, options: options,
-		wake: make(chan struct{}, 1), done: make(chan struct{}),
+		created: options.Clock.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	l.heartbeat.Store(int64(max(options.Heartbeat, minHeartbeat)))
 	l.touch()
@@ -127,17 +129,15 @@
 
 // Probe sends a ping at once and closes the link when nothing is received within the given time.
 func (l *Link) Probe(within time.Duration) {
-	if l.ping() != nil {
-		return
-	}
-	sent := l.options.Clock.Now()
+	before := l.received.Load()
+	_ = l.ping() // with a full queue the messages in it take the place of the ping
 	timer := l.options.Clock.NewTimer(within)
 	go func() {
 		defer timer.Stop()
 		select {
 		case <-l.done:
 		case <-timer.C():
-			if l.receivedAt().Before(sent) {
+			if l.received.Load() == before {
 				l.options.Stats.Silent.Add(1)
 				l.Close(ErrSilent)
 			}
@@ -190,9 +190,12 @@
 	}
 }
 
-func (l *Link) touch() { l.lastReceived.Store(l.options.Clock.Now().UnixNano()) }
+func (l *Link) touch() { l.lastReceived.Store(int64(l.options.Clock.Now().Sub(l.created))) }
 
-func (l *Link) receivedAt() time.Time { return time.Unix(0, l.lastReceived.Load()) }
+// idle returns the time since a frame was received.
+func (l *Link) idle() time.Duration {
+	return l.options.Clock.Now().Sub(l.created) - time.Duration(l.lastReceived.Load())
+}
 
 func (l *Link) read(ctx context.Context) {
 	for {
@@ -202,15 +205,14 @@
 			return
 		}
 		l.touch()
+		l.received.Add(1)
 		m, err := wire.Decode(frame)
 		if err != nil {
 			l.Close(eris.Wrap(err, "receive"))
 			return
 		}
 		l.options.Stats.countReceived(frame, !l.peer.Dialled)
-		if ping, ok := m.(*wire.Ping); ok {
-			l.pong(ping)
-		}
+		l.answer(m)
 		l.handler.OnMessage(l, m)
 	}
 }
@@ -252,6 +254,18 @@
 	return true
 }
 
+// answer handles the heartbeats of the peer. The accepting side has more links, so its interval counts.
+func (l *Link) answer(m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Ping:
+		l.pong(m)
+	case *wire.Pong:
+		if l.peer.Dialled && m.HeartbeatMillis > 0 {
+			l.SetHeartbeat(time.Duration(m.HeartbeatMillis) * time.Millisecond)
+		}
+	}
+}
+
 // watch sends a ping when nothing was received for one interval and closes the link after silentIntervals.
 func (l *Link) watch() {
 	timer := l.options.Clock.NewTimer(time.Duration(l.heartbeat.Load()))
@@ -263,19 +277,27 @@
 		case <-timer.C():
 		}
 		interval := time.Duration(l.heartbeat.Load())
-		idle := l.options.Clock.Now().Sub(l.receivedAt())
+		idle := l.idle()
 		if idle >= silentIntervals*interval {
 			l.options.Stats.Silent.Add(1)
 			l.Close(ErrSilent)
 			return
 		}
-		if idle >= interval {
+		if idle >= l.pingDelay(interval) {
 			_ = l.ping()
-			timer.Reset(interval)
+			timer.Reset(min(interval, silentIntervals*interval-idle))
 			continue
 		}
-		timer.Reset(interval - idle)
+		timer.Reset(l.pingDelay(interval) - idle)
+	}
+}
+
+// pingDelay is the time without traffic after which this side pings.
+func (l *Link) pingDelay(interval time.Duration) time.Duration {
+	if l.peer.Dialled {
+		return interval
 	}
+	return time.Duration(acceptorDelay * float64(interval))
 }
 
 func (l *Link) ping() error {
@@ -285,7 +307,11 @@
 
 func (l *Link) pong(ping *wire.Ping) {
 	list, documents := l.versions()
-	_ = l.Send(&wire.Pong{Sequence: ping.Sequence, ListVersion: list, DocumentDigest: documents})
+	pong := &wire.Pong{Sequence: ping.Sequence, ListVersion: list, DocumentDigest: documents}
+	if !l.peer.Dialled {
+		pong.HeartbeatMillis = uint32(time.Duration(l.heartbeat.Load()).Milliseconds())
+	}
+	_ = l.Send(pong)
 }
 
 func (l *Link) versions() (list, documents uint64) {
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,147 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Guards against messages that are lost or swapped, and against more than one OnClose.
+func TestMessagesArriveInOrderAndCloseIsReportedOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := newAcceptor(t)
+	near, far, nearSide, farSide := a.dial(t, a.address, dialOptions())
+	const count = 200
+	for i := range uint64(count) {
+		g.Expect(near.Send(&wire.Cancel{Attempts: []uint64{i}})).To(gomega.Succeed())
+		g.Expect(far.Send(&wire.Accepted{Attempts: []uint64{i}})).To(gomega.Succeed())
+	}
+	eventually(t, func() bool { return len(farSide.received()) == count && len(nearSide.received()) == count }, "all messages arrive")
+	for i, m := range farSide.received() {
+		g.Expect(m).To(gomega.Equal(&wire.Cancel{Attempts: []uint64{uint64(i)}}))
+	}
+	near.Close(link.ErrClosed)
+	near.Close(link.ErrSilent)
+	eventually(t, func() bool { return len(farSide.closed()) == 1 && len(nearSide.closed()) == 1 }, "both sides report the end")
+	g.Expect(nearSide.closed()[0]).To(gomega.MatchError(link.ErrClosed))
+	g.Expect(near.Send(&wire.Leaving{})).To(gomega.MatchError(link.ErrClosed))
+}
+
+// Guards against a refused process that takes the link for established, and against a lost cause.
+func TestRefusedHandshakeNamesTheCause(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := newAcceptor(t)
+	a.decide = func(*wire.Hello) *wire.Welcome { return &wire.Welcome{Refused: "another agent has this id"} }
+	_, _, err := link.Dial(context.Background(), link.WebSocketDialer{Token: token}, a.address, wire.Hello{}, dialOptions())
+	g.Expect(errors.Is(err, link.ErrRefused)).To(gomega.BeTrue())
+	g.Expect(err.Error()).To(gomega.ContainSubstring("another agent has this id"))
+	g.Expect(errors.Is(a.refusal(t), link.ErrRefused)).To(gomega.BeTrue())
+}
+
+// Guards against links of processes that do not know the token; an empty token must not open the door either.
+func TestWrongTokenIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := newAcceptor(t)
+	for _, wrong := range []string{"", "test-toke", "test-token2"} {
+		_, _, err := link.Dial(context.Background(), link.WebSocketDialer{Token: wrong}, a.address, wire.Hello{}, dialOptions())
+		g.Expect(errors.Is(err, link.ErrRefused)).To(gomega.BeTrue(), wrong)
+		g.Expect(errors.Is(a.refusal(t), link.ErrRefused)).To(gomega.BeTrue(), wrong)
+	}
+}
+
+// Guards against a peer of another protocol version or one that begins with another message.
+func TestForeignFirstMessageIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := newAcceptor(t)
+	cases := []struct {
+		first wire.Message
+		want  error
+	}{
+		{&wire.Hello{Protocol: wire.ProtocolVersion + 1}, link.ErrRefused},
+		{&wire.Leaving{}, link.ErrHandshake},
+	}
+	for _, c := range cases {
+		conn, err := link.WebSocketDialer{Token: token}.Dial(context.Background(), a.address)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		frame, err := wire.Encode(c.first)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(conn.WriteFrame(context.Background(), frame)).To(gomega.Succeed())
+		g.Expect(errors.Is(a.refusal(t), c.want)).To(gomega.BeTrue())
+		_ = conn.Close()
+	}
+}
+
+// Guards against an address that nobody listens on being reported as a refusal by the peer.
+func TestUnreachablePeerIsADialError(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, _, err := link.Dial(context.Background(), link.WebSocketDialer{Token: token}, "127.0.0.1:1", wire.Hello{}, dialOptions())
+	g.Expect(errors.Is(err, link.ErrDial)).To(gomega.BeTrue())
+}
+
+// Guards against a link that goes on after bytes that are no message.
+func TestMalformedFrameClosesTheLink(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := newAcceptor(t)
+	conn, err := link.WebSocketDialer{Token: token}.Dial(context.Background(), a.address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	hello, err := wire.Encode(&wire.Hello{Protocol: wire.ProtocolVersion})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(conn.WriteFrame(context.Background(), hello)).To(gomega.Succeed())
+	far, side := a.accepted(t), &recorder{}
+	far.Start(side)
+	g.Expect(conn.WriteFrame(context.Background(), []byte{0, 1, 2})).To(gomega.Succeed())
+	eventually(t, func() bool { return len(side.closed()) == 1 }, "the link closes")
+	g.Expect(errors.Is(side.closed()[0], wire.ErrUnknownType)).To(gomega.BeTrue())
+}
+
+// Guards against a probe that misses a silent peer, or that closes a link whose peer answers.
+func TestProbeFindsASilentPeer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := newAcceptor(t)
+	r := newRelay(t, a.address)
+	options := dialOptions()
+	options.Heartbeat = time.Minute // so that only the probe can find the silence in time
+	near, _, nearSide, _ := a.dial(t, r.address, options)
+	const within = 300 * time.Millisecond
+	near.Probe(within)
+	eventually(t, func() bool { return len(nearSide.received()) > 0 }, "the pong arrives")
+	time.Sleep(within + 50*time.Millisecond)
+	g.Expect(near.Cause()).To(gomega.BeNil())
+	r.mute()
+	near.Probe(within)
+	eventually(t, func() bool { return len(nearSide.closed()) == 1 }, "the silent link closes")
+	g.Expect(nearSide.closed()[0]).To(gomega.MatchError(link.ErrSilent))
+	g.Expect(options.Stats.Silent.Load()).To(gomega.BeEquivalentTo(1))
+}
+
+// Guards against a peer that does not read and so claims memory without bound or blocks the sender.
+func TestQueueOfASlowPeerIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := newAcceptor(t)
+	conn, err := link.WebSocketDialer{Token: token}.Dial(context.Background(), a.address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	hello, err := wire.Encode(&wire.Hello{Protocol: wire.ProtocolVersion})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(conn.WriteFrame(context.Background(), hello)).To(gomega.Succeed())
+	far := a.accepted(t)
+	far.Start(&recorder{})
+	large := &wire.Start{Body: make([]byte, wire.MaxFrame/2)}
+	var full error
+	began := time.Now()
+	for sent := 0; sent < 64 && full == nil; sent++ {
+		full = far.Send(large)
+	}
+	g.Expect(full).To(gomega.MatchError(link.ErrQueueFull))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 5*time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	g.Expect(far.Flush(ctx)).To(gomega.MatchError(context.DeadlineExceeded))
+	far.Close(link.ErrClosed)
+	_ = conn.Close()
+}
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -70,10 +70,11 @@
 
 const bearerPrefix = "Bearer "
 
-// Authorized reports whether the request carries the bearer token. The comparison takes constant time.
+// Authorized reports whether the request carries the bearer token. The comparison takes constant time. An empty token
+// authorizes nobody.
 func Authorized(r *http.Request, token string) bool {
 	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
-	return ok && subtle.ConstantTimeCompare([]byte(given), []byte(token)) == 1
+	return ok && token != "" && subtle.ConstantTimeCompare([]byte(given), []byte(token)) == 1
 }
 
 // Upgrade turns an HTTP request for Path into a connection. On error the response was already written.
