Count work that passes a wide job in a lasting overload

Once the wait has been above 1.5 s for 10 s, the drain that a job can expect is reduced by the rate of accepted work with at most half its horizon.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -248,6 +248,7 @@
 		e.counters.count(r.Reason, 1)
 		return r
 	}
+	k.pool.arrivals.add(jb)
 	jb.team = e.teamOf(j.Team)
 	e.jobs[j.ID] = jb
 	e.timers.push(deadline, jb)
--- a/internal/dispatch/policysim/scenario.go
+++ b/internal/dispatch/policysim/scenario.go
@@ -44,11 +44,13 @@
 		Name: "crest", Length: 60 * time.Second, Warmup: 10 * time.Second, Load: 0.6,
 		CrestLoad: 1.8, CrestStart: 25 * time.Second, CrestEnd: 30 * time.Second,
 	}
+	long := crest
+	long.Name, long.Length, long.CrestLoad, long.CrestEnd = "long-crest", 90*time.Second, 1.4, 50*time.Second
 	failing := steady("failing-upstream", 0.7)
 	failing.Failing = true
 	slow := steady("slow-upstream", 0.7)
 	slow.Slowdown = 10
 	lost := steady("entry-lost", 0.7)
 	lost.LostAt = length / 2
-	return append(list, crest, failing, slow, lost)
+	return append(list, crest, long, failing, slow, lost)
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -23,6 +23,7 @@
 	backlog    [classes]backlog
 	drain      drain
 	queue      standingQueue
+	arrivals   arrivals
 }
 
 func (e *engine) poolKeyOf(k *kind) poolKey {
@@ -87,7 +88,7 @@
 	if former == nil {
 		return
 	}
-	p.drain, p.queue = former.drain, former.queue
+	p.drain, p.queue, p.arrivals = former.drain, former.queue, former.arrivals
 	if len(p.ups) > 0 || p.had || !former.had {
 		return
 	}
--- a/internal/dispatch/shed.go
+++ b/internal/dispatch/shed.go
@@ -15,10 +15,10 @@
 	// minRetryAfter and maxRetryAfter bound the hint to callers.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
-	// standingWindow is the time over which the lowest expected wait must be above standingWait for the queue to count
-	// as standing. A queue that forms in a crest of demand is worth keeping, because it empties after the crest. One
-	// that stands adds only delay, so new work that is not urgent is refused above standingWait until the wait stays
-	// below it for a whole window.
+	// standingWindow is the time over which the lowest expected wait must be above standingWait, with jobs refused
+	// because they would be late, for the queue to count as standing. A queue that forms in a crest of demand is worth
+	// keeping, because it empties after the crest. One that stands adds only delay, so new work that is not urgent is
+	// refused above standingWait until the wait stays below it for a whole window.
 	standingWindow = instant(10 * time.Second)
 	standingWait   = instant(1500 * time.Millisecond)
 	// minAdmissionWait is the expected wait below which no job is refused.
@@ -42,7 +42,9 @@
 	if e.waiting[classUrgent]+e.waiting[classNormal]+n > limit {
 		return &Refusal{Reason: wire.ReasonOverloaded, RetryAfter: e.retryAfter(now, p, class)}
 	}
-	if e.late(now, j) || class == classNormal && e.standing(now, p) {
+	late := e.late(now, j)
+	p.queue.late = p.queue.late || late
+	if late || class == classNormal && e.standing(now, p) {
 		return &Refusal{Reason: wire.ReasonOverloaded, RetryAfter: e.retryAfter(now, p, class)}
 	}
 	return nil
@@ -57,18 +59,24 @@
 	} else {
 		ahead = p.backlog[classUrgent].before(now, j.key)
 	}
-	wait := e.expectedWait(now, p, ahead+len(j.tasks))
+	rate := p.rate(e, now)
+	if p.queue.loaded {
+		rate = max(rate-p.arrivals.passing(j), minDrainShare*rate)
+	}
+	wait := e.expectedWait(now, p, rate, ahead+len(j.tasks))
 	return wait > minAdmissionWait && now+wait+j.kind.mean > j.deadline
 }
 
 // standing tells whether the queue has stood for long and new work would wait for long.
 func (e *engine) standing(now instant, p *pool) bool {
-	return p.queue.standing && e.expectedWait(now, p, p.waiting()) > standingWait
+	return p.queue.standing && e.expectedWait(now, p, p.rate(e, now), p.waiting()) > standingWait
 }
 
 // standingQueue finds out whether a queue stands, from the lowest and highest wait in a window.
 type standingQueue struct {
-	standing        bool
+	loaded          bool // the wait was above standingWait for a whole window
+	standing        bool // loaded, and jobs were refused because they would be late
+	late            bool // a job was refused in this window because it would have been late
 	windowEnd       instant
 	lowest, highest instant
 }
@@ -80,13 +88,13 @@
 	}
 	switch {
 	case now >= s.windowEnd+standingWindow: // nothing was observed for long
-		s.standing = false
+		s.loaded, s.standing = false, false
 	case s.lowest > standingWait:
-		s.standing = true
+		s.loaded, s.standing = true, s.standing || s.late
 	case s.highest < standingWait:
-		s.standing = false
+		s.loaded, s.standing = false, false
 	}
-	s.lowest, s.highest, s.windowEnd = wait, wait, now+standingWindow
+	s.late, s.lowest, s.highest, s.windowEnd = false, wait, wait, now+standingWindow
 }
 
 // graceOver tells whether a waiting job has to be given up because no upstream can serve it.
@@ -95,9 +103,8 @@
 	return len(p.ups) == 0 && now-j.submitted >= upstreamGrace && now-p.emptySince >= upstreamGrace
 }
 
-// expectedWait estimates when the last of n waiting tasks starts.
-func (e *engine) expectedWait(now instant, p *pool, n int) instant {
-	rate := p.rate(e, now)
+// expectedWait estimates when the last of n waiting tasks starts, at a rate in tasks per second.
+func (e *engine) expectedWait(now instant, p *pool, rate float64, n int) instant {
 	if rate <= 0 {
 		return 0
 	}
@@ -173,5 +180,9 @@
 	if j.sent || t.started || now-j.submitted < minAdmissionWait {
 		return false
 	}
-	return now+j.kind.median > j.deadline
+	rest := instant(0)
+	if rate := j.kind.pool.rate(e, now); rate > 0 {
+		rest = spanOf(float64(j.waiting-1) / rate)
+	}
+	return now+rest+j.kind.median > j.deadline
 }
