Send a changed list of entries to the agents

Refusals for lack of a slot were ruled out first: the agents were nearly idle. An agent that refuses under an older list now also gets the newer one.

Entries also lengthen the heartbeats of links that they already have.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -56,12 +56,37 @@
 	}
 	c.timers.cancel(s.lostTimer)
 	s.hello, s.link, s.leaving = hello, l, hello.Leaving
+	c.updateHeartbeats()
 	c.queryAttempts(s)
 	c.offerAgent(s)
 	c.sendDocuments(l, hello.Services, hello.DocumentRevisions)
 	c.log.WithField("agent", s.id).Info("entry: agent connected")
 }
 
+// updateHeartbeats lengthens the interval of all links when their number grows, so that the heartbeats of the process stay
+// within their budget.
+func (c *control) updateHeartbeats() {
+	interval := c.heartbeat()
+	if interval == c.interval {
+		return
+	}
+	c.interval = interval
+	for _, s := range c.agents {
+		if s.link != nil {
+			s.link.SetHeartbeat(interval)
+		}
+	}
+	for _, p := range c.peers {
+		if p.link != nil {
+			p.link.SetHeartbeat(interval)
+		}
+	}
+}
+
+func (c *control) heartbeat() time.Duration {
+	return link.HeartbeatInterval(len(c.agents) + len(c.peers))
+}
+
 // replaceAgent ends the session of an agent that was restarted. Its records are gone with it.
 func (c *control) replaceAgent(s *agentSession) {
 	if s.link != nil {
@@ -182,6 +207,9 @@
 func (c *control) agentResult(s *agentSession, m *wire.Result) {
 	if m.List != nil {
 		c.adoptList(m.List)
+		if m.List.Version < c.list.Version && s.link != nil {
+			c.sendList(s.link)
+		}
 	}
 	a := s.attempts[m.Attempt]
 	if a == nil {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -35,6 +35,7 @@
 	quotas    *quota.Quotas
 	agents    map[string]*agentSession
 	peers     map[string]*peer
+	interval  time.Duration // of the heartbeats
 
 	jobs      map[uint64]*job
 	running   map[wire.KeyHash]*job
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -44,7 +44,7 @@
 	list := c.list
 	w := &wire.Welcome{
 		ID: c.options.ID, Incarnation: c.incarnation, DataCentre: c.options.DataCentre, Region: c.options.Region,
-		HeartbeatMillis:   uint32(link.HeartbeatInterval(len(c.agents) + len(c.peers)).Milliseconds()),
+		HeartbeatMillis:   uint32(c.heartbeat().Milliseconds()),
 		DocumentRevisions: c.documents.Revisions(), List: &list,
 	}
 	switch {
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -69,13 +69,23 @@
 		Info("entry: list of entries changed")
 	c.updateDiallers()
 	c.updateQuotaPeers()
+	c.spreadList()
+	c.rerouteForwards()
+	c.sendHandovers()
+}
+
+// spreadList sends the list to every entry and agent. An agent with an older list refuses the starts of a new member.
+func (c *control) spreadList() {
 	for _, p := range c.peers {
 		if p.link != nil {
 			c.sendList(p.link)
 		}
 	}
-	c.rerouteForwards()
-	c.sendHandovers()
+	for _, s := range c.agents {
+		if s.link != nil {
+			c.sendList(s.link)
+		}
+	}
 }
 
 // memberOf returns the identity of the entry at the other end of a link.
