Add the table of submissions and its recovery

The table decides for each keyed submission whether it runs, joins, has a stored answer, waits, or is held elsewhere. After a change of the list it asks members what they hold and agents what they started.

The property test drives entries, agents and callers over random interleavings.

- A key that a lost entry held for its current home counted as owned, because the home itself had not changed.
- Records were asked only of expelled entries.
An entry that left clean hands its answers to another one; if that one is expelled, the records are filed under the entry that left.
- A job of a former incarnation hid records and holders of its key, and was forgotten when it ended as not_run.
- An agent whose record had expired told a home that slept past the window that it had never seen the attempt.
- An agent that slept past the window started a task for a forgotten key.
Start now carries the deadline of the job.
- A key that expired and was used again with another body could get the recorded answer of the former body.

AgentRoster says since when an agent is silent and which entries' agents it includes, so that a joining entry knows whether its view is complete.

--- a/internal/agent/records/admit.go
+++ b/internal/agent/records/admit.go
@@ -40,7 +40,10 @@
 	id := taskID{s.Key, s.Task}
 	former := t.byTask[id]
 	if former != nil && !mayRepeat(s, former) {
-		return t.turnDown(now, ref, refusal{reason: wire.RefusedDuplicate, of: former})
+		return t.turnDown(now, ref, refusal{reason: wire.RefusedDuplicate, of: former, foreign: s.Digest != former.digest})
+	}
+	if !s.Expires.IsZero() && now.After(s.Expires.Add(clockSkew)) {
+		return t.turnDown(now, ref, refusal{reason: wire.RefusedExpired})
 	}
 	if local != wire.RefusedNone {
 		return t.turnDown(now, ref, refusal{reason: local})
@@ -66,6 +69,9 @@
 	if former, ok := t.refusalOf(ref); ok {
 		return Admission{Verdict: Reply, Result: t.refusalResult(ref, former)}, true
 	}
+	if t.hasExpired(ref) {
+		return Admission{Verdict: Reply, Result: expiredResult(ref)}, true
+	}
 	return Admission{}, false
 }
 
@@ -135,7 +141,12 @@
 	return &wire.Result{Attempt: r.ref.Attempt, State: r.state}
 }
 
-const errDropped = "the result was dropped to stay within the byte budget"
+// Texts of Result.Error.
+const (
+	errDropped = "the result was dropped to stay within the byte budget"
+	errExpired = "the record of the attempt has expired"
+	errForeign = "the task was started with another body under the same key"
+)
 
 func (t *Table) refusalResult(ref Ref, why refusal) *wire.Result {
 	result := &wire.Result{Attempt: ref.Attempt, State: wire.AttemptRefused, Reason: why.reason}
@@ -146,6 +157,9 @@
 		result.List = t.list
 	case wire.RefusedDuplicate:
 		recorded := why.of.final()
+		if why.foreign {
+			recorded = &wire.Result{State: wire.AttemptUnknown, Error: errForeign}
+		}
 		result.Recorded = recorded.State
 		result.Status = recorded.Status
 		result.Headers = recorded.Headers
--- a/internal/agent/records/collect.go
+++ b/internal/agent/records/collect.go
@@ -46,11 +46,16 @@
 	return w.finish(), nil
 }
 
+type jobID struct {
+	key    wire.KeyHash
+	digest [16]byte
+}
+
 type partWriter struct {
 	template wire.Records
 	parts    []*wire.Records
-	// index maps a key to its place in the open part.
-	index map[wire.KeyHash]int
+	// index maps a job to its place in the open part. A key that expired and was used again can have two jobs.
+	index map[jobID]int
 	bytes int
 	count int
 }
@@ -60,11 +65,12 @@
 		w.open()
 	}
 	part := w.parts[len(w.parts)-1]
-	i, ok := w.index[r.id.key]
+	id := jobID{r.id.key, r.digest}
+	i, ok := w.index[id]
 	if !ok {
 		i = len(part.Keys)
 		part.Keys = append(part.Keys, wire.KeyRecord{Key: r.id.key, Tasks: r.tasks, Digest: r.digest})
-		w.index[r.id.key] = i
+		w.index[id] = i
 	}
 	part.Keys[i].Done = append(part.Keys[i].Done, r.taskRecord())
 	w.bytes += r.bytes + recordOverhead
@@ -74,7 +80,7 @@
 func (w *partWriter) open() {
 	part := w.template
 	w.parts = append(w.parts, &part)
-	w.index = make(map[wire.KeyHash]int)
+	w.index = make(map[jobID]int)
 	w.bytes = 0
 	w.count = 0
 }
--- a/internal/agent/records/forget.go
+++ b/internal/agent/records/forget.go
@@ -37,6 +37,28 @@
 	return refusal{}, false
 }
 
+// hasExpired tells whether the record of an unknown attempt may have expired.
+func (t *Table) hasExpired(ref Ref) bool {
+	highest, ok := t.forgotten[ref.HomeIncarnation]
+	return ok && ref.Attempt <= highest
+}
+
+func expiredResult(ref Ref) *wire.Result {
+	return &wire.Result{Attempt: ref.Attempt, State: wire.AttemptUnknown, Error: errExpired}
+}
+
+func (t *Table) pruneForgotten() {
+	members := make(map[uint64]bool)
+	for _, m := range t.list.Members {
+		members[m.Incarnation] = true
+	}
+	for home := range t.forgotten {
+		if !members[home] {
+			delete(t.forgotten, home)
+		}
+	}
+}
+
 func (t *Table) expireFloors(now time.Time) {
 	for home, f := range t.floors {
 		if !now.Before(f.expires) {
--- a/internal/agent/records/progress.go
+++ b/internal/agent/records/progress.go
@@ -92,6 +92,9 @@
 		return t.Refuse(now, ref, wire.RefusedCancelled)
 	}
 	former, ok := t.refusalOf(ref)
+	if !ok && t.hasExpired(ref) {
+		return expiredResult(ref)
+	}
 	if !ok {
 		former = refusal{reason: wire.RefusedCancelled}
 		t.refuse(now, ref, former)
@@ -124,6 +127,9 @@
 
 func (t *Table) queryUnstarted(now time.Time, ref Ref) *wire.Result {
 	former, ok := t.refusalOf(ref)
+	if !ok && t.hasExpired(ref) {
+		return expiredResult(ref)
+	}
 	if !ok {
 		t.refuse(now, ref, former)
 	}
@@ -133,7 +139,9 @@
 // Expire forgets what is past the retention window. Every other method calls it; its cost is constant per record.
 func (t *Table) Expire(now time.Time) {
 	for t.finished.len() > 0 && !now.Before(t.finished.front().expires) {
-		t.forget(t.finished.pop())
+		r := t.finished.pop()
+		t.forgotten[r.ref.HomeIncarnation] = max(t.forgotten[r.ref.HomeIncarnation], r.ref.Attempt)
+		t.forget(r)
 	}
 	for t.refusals.len() > 0 && !now.Before(t.refusals.front().expires) {
 		delete(t.refused, t.refusals.pop().ref)
--- a/internal/agent/records/records.go
+++ b/internal/agent/records/records.go
@@ -15,6 +15,10 @@
 // its longest deadline after one of its tasks, so a record must outlive the window by that time and the clock skew.
 const retentionSlack = wire.MaxDeadline + 5*time.Second
 
+// clockSkew is the largest difference that is expected between two clocks. It is allowed for before a Start that was
+// read late is refused: the home may have forgotten the key by then.
+const clockSkew = 2 * time.Second
+
 // Defaults of Config.
 const (
 	// DefaultRetention is the retention window of the design.
@@ -27,6 +31,10 @@
 	DefaultMaxResultBytes = 64 << 20
 )
 
+// maxForgotten is the number of home incarnations past which those that are no members are pruned from the record of
+// expired attempts.
+const maxForgotten = 1000
+
 // Config holds the bounds of a Table. Zero fields get the defaults.
 type Config struct {
 	// Retention is the retention window; the same for all entries and agents.
@@ -99,6 +107,9 @@
 	reason wire.RefusalReason
 	// of is the record that made the attempt a duplicate.
 	of *record
+	// foreign is set when that record belongs to another body under the same key, which the home has forgotten. Its
+	// answer must not be given.
+	foreign bool
 }
 
 type refusalExpiry struct {
@@ -119,6 +130,9 @@
 	refused    map[Ref]refusal
 	refusals   fifo[refusalExpiry]
 	floors     map[uint64]floor
+	// forgotten has, for each home incarnation, the highest attempt whose record has expired. An attempt up to it that
+	// has no record may have been started.
+	forgotten map[uint64]uint64
 }
 
 // floor replaces refusals that were forgotten for lack of space.
@@ -136,6 +150,7 @@
 		byHome:    make(map[uint64]*record),
 		refused:   make(map[Ref]refusal),
 		floors:    make(map[uint64]floor),
+		forgotten: make(map[uint64]uint64),
 	}
 }
 
@@ -144,6 +159,9 @@
 func (t *Table) Adopt(list *wire.EntryList) bool {
 	var adopted bool
 	t.list, adopted = placement.Newer(t.list, list)
+	if adopted && len(t.forgotten) > maxForgotten {
+		t.pruneForgotten()
+	}
 	return adopted
 }
 
--- a/internal/agent/records/records_test.go
+++ b/internal/agent/records/records_test.go
@@ -63,6 +63,18 @@
 	g.Expect(table.Admit(epoch, start("c", 9, 1, 1, 0), wire.RefusedNone).Result.Reason).To(gomega.Equal(wire.RefusedFenced))
 }
 
+// Guards against an agent that was paused for longer than the retention window and runs a Start that it reads then.
+func TestLateStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := records.New(records.Config{Retention: retention})
+	s := start("a", 1, 1, 1, 0)
+	s.Expires = epoch
+	g.Expect(table.Admit(epoch.Add(3*time.Second), s, wire.RefusedNone).Result.Reason).To(gomega.Equal(wire.RefusedExpired))
+	s = start("a", 1, 2, 1, 0)
+	s.Expires = epoch
+	g.Expect(table.Admit(epoch.Add(time.Second), s, wire.RefusedNone).Verdict).To(gomega.Equal(records.Run))
+}
+
 // Guards against a second start of a task, and against a duplicate whose lost answer passes for a whole one.
 func TestDuplicate(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -80,6 +92,12 @@
 	g.Expect(again.Recorded).To(gomega.Equal(wire.AttemptDone))
 	g.Expect(again.Body).To(gomega.Equal([]byte("0123456789")))
 
+	foreign := start("b", 1, 3, 1, 0)
+	foreign.Digest[0] = 9
+	other := table.Admit(epoch, foreign, wire.RefusedNone).Result
+	g.Expect(other.Recorded).To(gomega.Equal(wire.AttemptUnknown))
+	g.Expect(other.Body).To(gomega.BeEmpty())
+
 	finish(g, table, start("a", 1, 3, 2, 0), "another")
 	dropped := table.Admit(epoch, start("b", 1, 2, 1, 0), wire.RefusedNone).Result
 	g.Expect(dropped.Recorded).To(gomega.Equal(wire.AttemptUnknown))
@@ -136,6 +154,19 @@
 	g.Expect(table.Stats().ResultBytes).To(gomega.BeZero())
 }
 
+// Guards against a home that was paused for longer than the retention window and is told that a task which ran was
+// never seen.
+func TestQueryAfterExpiry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := records.New(records.Config{Retention: retention})
+	finish(g, table, start("a", 1, 5, 1, 0), "x")
+	late := epoch.Add(retention + 2*wire.MaxDeadline)
+	_, results := table.Query(late, incarnation("a"), []uint64{4, 5, 6})
+	states := []wire.AttemptState{results[0].State, results[1].State, results[2].State}
+	g.Expect(states).To(gomega.Equal([]wire.AttemptState{wire.AttemptUnknown, wire.AttemptUnknown, wire.AttemptNeverSeen}))
+	g.Expect(table.Admit(late, start("a", 1, 5, 1, 0), wire.RefusedNone).Result.State).To(gomega.Equal(wire.AttemptUnknown))
+}
+
 // Guards against a refusal that is lost when the table of refusals overflows before the retention window is over.
 func TestFloorKeepsRefusals(t *testing.T) {
 	g := gomega.NewWithT(t)
--- /dev/null
+++ b/internal/submission/collect.go
@@ -0,0 +1,127 @@
+package submission
+
+import (
+	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// sources returns the departed entries whose keys are recovered from the agents: those that were expelled, and those
+// that left clean before the last expulsion, because the expelled entry may have been the one that took their answers.
+func (t *Table) sources() []wire.Departed {
+	if t.list == nil {
+		return nil
+	}
+	var last uint64
+	for _, d := range t.list.Departed {
+		if !d.Clean {
+			last = max(last, d.AtVersion)
+		}
+	}
+	var all []wire.Departed
+	for _, d := range t.list.Departed {
+		if d.AtVersion <= last {
+			all = append(all, d)
+		}
+	}
+	return all
+}
+
+func (t *Table) isSource(incarnation uint64) bool {
+	for _, d := range t.sources() {
+		if d.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// collectAll returns the questions to every agent with a link that has not answered.
+func (t *Table) collectAll(now time.Time) []CollectFrom {
+	t.roster.expire(now)
+	var all []CollectFrom
+	for _, a := range t.roster.agents {
+		if a.connected {
+			all = append(all, t.collectFrom(a)...)
+		}
+	}
+	return all
+}
+
+func (t *Table) collectFrom(a *agentInfo) []CollectFrom {
+	if !t.isActive() {
+		return nil
+	}
+	var all []CollectFrom
+	for _, d := range t.sources() {
+		if _, ok := t.round.answered[d.Incarnation][a.ref]; !ok {
+			all = append(all, t.question(a.ref, d))
+		}
+	}
+	return all
+}
+
+func (t *Table) question(ref AgentRef, d wire.Departed) CollectFrom {
+	return CollectFrom{Agent: ref, Message: &wire.Collect{
+		List: t.list, Expelled: d.ID, ExpelledIncarnation: d.Incarnation,
+	}}
+}
+
+func (t *Table) pendingMembers() []wire.Member {
+	var all []wire.Member
+	for ref := range t.round.members {
+		if m, ok := placement.Find(t.list, ref.id, ref.incarnation); ok {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+func (t *Table) pendingAgents(now time.Time) int {
+	if t.list == nil || !t.isActive() {
+		return 0
+	}
+	return t.verdict(now).agents
+}
+
+// reaskLater plans another question to an agent that reported tasks without a result.
+func (t *Table) reaskLater(now time.Time, ref AgentRef, expelled uint64) {
+	for _, r := range t.round.reasks {
+		if r.agent == ref && r.expelled == expelled {
+			return
+		}
+	}
+	t.round.reasks = append(t.round.reasks, reask{ref, expelled, now.Add(reaskInterval)})
+}
+
+// Tick returns the questions that are due. Call it at the time that Wake returns, or about once a second.
+func (t *Table) Tick(now time.Time) Actions {
+	t.expire(now)
+	t.settle(now)
+	var actions Actions
+	n := 0
+	for n < len(t.round.reasks) && !t.round.reasks[n].at.After(now) {
+		r := t.round.reasks[n]
+		n++
+		a := t.roster.agents[r.agent]
+		if a == nil || !a.connected {
+			continue
+		}
+		for _, d := range t.sources() {
+			if d.Incarnation == r.expelled {
+				actions.Collect = append(actions.Collect, t.question(r.agent, d))
+			}
+		}
+	}
+	t.round.reasks = t.round.reasks[n:]
+	return actions
+}
+
+// Wake returns the time of the next Tick; zero if none is needed.
+func (t *Table) Wake() time.Time {
+	if len(t.round.reasks) == 0 {
+		return time.Time{}
+	}
+	return t.round.reasks[0].at
+}
--- /dev/null
+++ b/internal/submission/holder.go
@@ -0,0 +1,104 @@
+package submission
+
+import (
+	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// maxInheritedKeys bounds one part of Inherited, in keys of 17 bytes.
+const maxInheritedKeys = 32768
+
+// InheritAnswer is what to send to the asker, in this order. Newer is set alone when the asker's list is older than
+// the one in use: the asker adopts it and asks again.
+type InheritAnswer struct {
+	Roster *wire.AgentRoster
+	Parts  []*wire.Inherited
+	Newer  *wire.EntryList
+}
+
+// InheritReceived adopts the asker's list and names the keys of this table that now belong to the asker. From then on
+// this entry takes no new submission of such a key. The jobs it runs go on.
+func (t *Table) InheritReceived(now time.Time, asker wire.Member, m *wire.Inherit) (InheritAnswer, Actions) {
+	actions := t.Adopt(now, m.List)
+	if placement.Version(t.list) > placement.Version(m.List) {
+		return InheritAnswer{Newer: t.list}, actions
+	}
+	t.expire(now)
+	return InheritAnswer{
+		Roster: t.FullRoster(now),
+		Parts:  inheritedParts(t.list.Version, t.keysOf(asker)),
+	}, actions
+}
+
+func inheritedParts(version uint64, keys []wire.KeyHash) []*wire.Inherited {
+	var parts []*wire.Inherited
+	for len(keys) > maxInheritedKeys {
+		parts = append(parts, &wire.Inherited{ListVersion: version, Keys: keys[:maxInheritedKeys]})
+		keys = keys[maxInheritedKeys:]
+	}
+	return append(parts, &wire.Inherited{ListVersion: version, Keys: keys, Last: true})
+}
+
+// partition has the keys of this table that belong to other members. It is made once per list, because after the
+// adoption of a list no key of another member enters the table.
+type partition struct {
+	version uint64
+	keys    map[holderRef][]wire.KeyHash
+}
+
+func (t *Table) keysOf(asker wire.Member) []wire.KeyHash {
+	if t.partition.version != t.list.Version {
+		t.partition = partition{version: t.list.Version, keys: make(map[holderRef][]wire.KeyHash)}
+		regions := regionsOf(t.list)
+		for key := range t.store.index {
+			t.assign(regions, key)
+		}
+		for key := range t.recovered.keys {
+			t.assign(regions, key)
+		}
+	}
+	return t.partition.keys[holderOf(asker)]
+}
+
+// assign adds a key to every member that can be its home, for any home region. A pointer too many costs one message;
+// one too few could start a task twice.
+func (t *Table) assign(regions []string, key wire.KeyHash) {
+	var seen []holderRef
+	for _, region := range regions {
+		home, ok := placement.Home(t.list, region, key)
+		if !ok || placement.SameRun(home, t.self) {
+			continue
+		}
+		ref := holderOf(home)
+		if !contains(seen, ref) {
+			seen = append(seen, ref)
+			t.partition.keys[ref] = append(t.partition.keys[ref], key)
+		}
+	}
+}
+
+// regionsOf returns the regions of the list, and the empty one that stands for all.
+func regionsOf(list *wire.EntryList) []string {
+	regions := []string{""}
+	for _, m := range list.Members {
+		known := false
+		for _, r := range regions {
+			known = known || r == m.Region
+		}
+		if !known {
+			regions = append(regions, m.Region)
+		}
+	}
+	return regions
+}
+
+func contains(refs []holderRef, ref holderRef) bool {
+	for _, r := range refs {
+		if r == ref {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/submission/round.go
@@ -0,0 +1,245 @@
+package submission
+
+import (
+	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// verdictAge is how long a verdict is used while no event arrives. Only the passing of time changes it then, and
+// only towards fewer refusals.
+const verdictAge = time.Second
+
+// round is the search for what former homes started, since the last change that made this entry inherit keys.
+type round struct {
+	// version is the list under which the search began; answers under an older list do not count.
+	version uint64
+	started time.Time
+	// members are the members that have not told what they hold.
+	members map[holderRef]struct{}
+	// answered has, for each expelled incarnation, the agents that sent all their records.
+	answered map[uint64]map[AgentRef]struct{}
+	// blind has the time at which an expelled entry was first seen whose agents are not known completely.
+	blind  map[uint64]time.Time
+	reasks []reask
+	dirty  bool
+	last   verdict
+}
+
+type reask struct {
+	agent    AgentRef
+	expelled uint64
+	at       time.Time
+}
+
+// verdict summarises what is missing.
+type verdict struct {
+	at time.Time
+	// agents counts agents that may still run work for an expelled entry; waitUntil bounds the wait for them.
+	agents    int
+	waitUntil time.Time
+	// horizon is the latest time at which records were lost; zero if none matter. Until horizonEnd a key that could
+	// have been among them may not be run.
+	horizon    time.Time
+	horizonEnd time.Time
+}
+
+// restart asks everyone again. Former answers told only about the keys of that time.
+func (t *Table) restart(now time.Time) {
+	blind := t.round.blind
+	t.round = round{
+		version:  t.list.Version,
+		started:  now,
+		members:  make(map[holderRef]struct{}),
+		answered: make(map[uint64]map[AgentRef]struct{}),
+		blind:    make(map[uint64]time.Time),
+	}
+	for _, m := range t.list.Members {
+		if !placement.SameRun(m, t.self) {
+			t.round.members[holderOf(m)] = struct{}{}
+		}
+	}
+	for _, d := range t.list.Departed {
+		since, ok := blind[d.Incarnation]
+		if !ok {
+			since = now
+		}
+		t.round.blind[d.Incarnation] = since
+	}
+}
+
+// keepMembers stops waiting for members that departed clean: they have handed everything over.
+func (r *round) keepMembers(list *wire.EntryList) {
+	for ref := range r.members {
+		if _, ok := placement.Find(list, ref.id, ref.incarnation); !ok {
+			delete(r.members, ref)
+		}
+	}
+}
+
+// current tells whether an answer under this list version counts. A higher version than the own one does not: under
+// it fewer keys may belong to this entry than it believes.
+func (t *Table) current(version uint64) bool {
+	return version >= t.round.version && version <= placement.Version(t.list)
+}
+
+// InheritedReceived takes over the keys that another member holds.
+func (t *Table) InheritedReceived(now time.Time, from wire.Member, m *wire.Inherited) Actions {
+	t.expire(now)
+	ref := holderOf(from)
+	if !t.current(m.ListVersion) {
+		return Actions{}
+	}
+	// An entry of this table comes before a pointer, but it can be a job of a former incarnation that ends as not_run
+	// and is forgotten. The pointer counts then.
+	for _, key := range m.Keys {
+		t.pointers.add(key, ref, now.Add(t.cfg.Retention+slack))
+	}
+	if !m.Last {
+		return Actions{}
+	}
+	delete(t.round.members, ref)
+	t.round.dirty = true
+	t.settle(now)
+	return Actions{Recheck: true}
+}
+
+// RecordsReceived takes over records of an expelled entry.
+func (t *Table) RecordsReceived(now time.Time, from AgentRef, m *wire.Records) Actions {
+	t.expire(now)
+	if !t.current(m.ListVersion) || !t.isSource(m.ExpelledIncarnation) {
+		return Actions{}
+	}
+	open := false
+	for i := range m.Keys {
+		t.mergeKey(now, &m.Keys[i])
+		k := t.recovered.keys[m.Keys[i].Key]
+		open = open || (k != nil && k.hasOpen())
+	}
+	if open {
+		t.reaskLater(now, from, m.ExpelledIncarnation)
+	}
+	if !m.Last {
+		return Actions{}
+	}
+	answered := t.round.answered[m.ExpelledIncarnation]
+	if answered == nil {
+		answered = make(map[AgentRef]struct{})
+		t.round.answered[m.ExpelledIncarnation] = answered
+	}
+	answered[from] = struct{}{}
+	t.round.dirty = true
+	t.settle(now)
+	return Actions{Recheck: true}
+}
+
+// mayRun decides on a key without records, entry or holder.
+func (t *Table) mayRun(now time.Time, s Submission) (Decision, bool) {
+	if t.isOwned(s) && !t.pointers.holderLost(t.list, s.Key) {
+		return Decision{}, true
+	}
+	if d, waiting := t.awaitAnswers(now, s.Deadline); waiting {
+		return d, false
+	}
+	v := t.verdict(now)
+	if v.horizon.IsZero() || youngerThan(v.horizon, s.CreatedAt, now) {
+		return Decision{}, true
+	}
+	return recovering(v.horizonEnd.Sub(now)), false
+}
+
+// awaitAnswers returns Wait or a refusal while members or agents have not answered.
+func (t *Table) awaitAnswers(now, deadline time.Time) (Decision, bool) {
+	if len(t.round.members) > 0 {
+		if now.Before(deadline) {
+			return Decision{Kind: Wait, Until: deadline}, true
+		}
+		return recovering(retryShort), true
+	}
+	v := t.verdict(now)
+	if v.agents == 0 {
+		return Decision{}, false
+	}
+	until := v.waitUntil
+	if deadline.Before(until) {
+		until = deadline
+	}
+	if now.Before(until) {
+		return Decision{Kind: Wait, Until: until}, true
+	}
+	return recovering(retryShort), true
+}
+
+// youngerThan tells whether a key was provably created after the horizon. A key whose time lies in the future proves
+// nothing.
+func youngerThan(horizon, created, now time.Time) bool {
+	return !created.IsZero() && created.After(horizon.Add(clockSkew)) && !created.After(now.Add(clockSkew))
+}
+
+// settle ends the search when nothing is missing: every key of this entry is owned from then on.
+func (t *Table) settle(now time.Time) {
+	if t.list == nil || !t.isActive() || len(t.round.members) > 0 {
+		return
+	}
+	if v := t.verdict(now); v.agents == 0 && v.horizon.IsZero() {
+		t.owned = append(t.owned[:0:0], t.list)
+	}
+}
+
+func (t *Table) isActive() bool {
+	m, ok := placement.Find(t.list, t.self.ID, t.self.Incarnation)
+	return ok && m.State == wire.MemberActive
+}
+
+func (t *Table) verdict(now time.Time) verdict {
+	if !t.round.dirty && now.Sub(t.round.last.at) < verdictAge {
+		return t.round.last
+	}
+	t.roster.expire(now)
+	v := verdict{at: now}
+	for _, d := range t.sources() {
+		t.judge(now, d, &v)
+	}
+	t.round.last = v
+	t.round.dirty = false
+	return v
+}
+
+// judge adds what is missing about one expelled entry.
+func (t *Table) judge(now time.Time, d wire.Departed, v *verdict) {
+	if _, heard := t.roster.heard[d.Incarnation]; !heard {
+		v.lose(now, t.round.blind[d.Incarnation], t.roster.window)
+	}
+	answered := t.round.answered[d.Incarnation]
+	for ref, a := range t.roster.agents {
+		if _, ok := answered[ref]; ok {
+			continue
+		}
+		if a.lost() {
+			v.lose(now, a.lostAt, t.roster.window)
+			continue
+		}
+		v.agents++
+		asked := t.round.started
+		if a.connected && a.connectedAt.After(asked) {
+			asked = a.connectedAt
+		}
+		if until := asked.Add(t.cfg.CollectGrace); until.After(v.waitUntil) {
+			v.waitUntil = until
+		}
+	}
+}
+
+func (v *verdict) lose(now, at time.Time, window time.Duration) {
+	end := at.Add(window)
+	if !now.Before(end) {
+		return
+	}
+	if at.After(v.horizon) {
+		v.horizon = at
+	}
+	if end.After(v.horizonEnd) {
+		v.horizonEnd = end
+	}
+}
--- /dev/null
+++ b/internal/submission/world_test.go
@@ -0,0 +1,345 @@
+package submission_test
+
+import (
+	"fmt"
+	"maps"
+	"math/bits"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/agent/records"
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
+	"github.com/coltsfootspur/coltsfootspur/internal/submission"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+const (
+	tasksPerJob = 2
+	jobDeadline = 30 * time.Second
+	retention   = 10 * time.Minute
+	agentMemory = 3 * time.Hour
+)
+
+// world drives several homes and agents as pure state machines. Messages wait in one queue per direction of a link;
+// a cut link loses them.
+type world struct {
+	t      *rapid.T
+	now    time.Time
+	list   *wire.EntryList // the value in the store
+	serial uint64
+	homes  []*home
+	agents []*agent
+	keys   []*key
+	queues map[[2]string][]func()
+	down   map[[2]string]bool
+	owner  map[uint64]*job // by attempt
+	counts map[string]int
+}
+
+// key is an idempotency key with the starts of its tasks.
+type key struct {
+	hash    wire.KeyHash
+	region  string
+	created time.Time
+	starts  []keyStart
+}
+
+type keyStart struct {
+	at   time.Time
+	task uint16
+	job  *job
+}
+
+type home struct {
+	self    wire.Member
+	table   *submission.Table
+	alive   bool
+	jobs    map[submission.Job]*job
+	waiting []request
+}
+
+type request struct {
+	key    *key
+	s      submission.Submission
+	origin *home
+}
+
+// job is a running submission with the state of its tasks.
+type job struct {
+	home     *home
+	member   wire.Member
+	id       submission.Job
+	key      *key
+	digest   [16]byte
+	deadline time.Time
+	tasks    [tasksPerJob]task
+	started  int
+	notRun   bool
+}
+
+type task struct {
+	attempt uint64 // 0 when no attempt is open
+	agent   *agent
+	result  *wire.Result // the final result of a started task
+}
+
+type agent struct {
+	ref     submission.AgentRef
+	started time.Time
+	table   *records.Table
+	alive   bool
+	queued  []*wire.Start
+	running []*wire.Start
+}
+
+func (h *home) name() string  { return fmt.Sprintf("%s/%d", h.self.ID, h.self.Incarnation) }
+func (a *agent) name() string { return fmt.Sprintf("%s/%d", a.ref.ID, a.ref.Incarnation) }
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: time.Unix(1_700_000_000, 0), queues: map[[2]string][]func(){}, down: map[[2]string]bool{},
+		owner: map[uint64]*job{}, counts: map[string]int{},
+	}
+	for i := range 3 {
+		w.join(fmt.Sprintf("entry-%d", i))
+	}
+	for i := range 3 {
+		w.startAgent(fmt.Sprintf("agent-%d", i))
+	}
+	return w
+}
+
+func (w *world) next() uint64 { w.serial++; return w.serial }
+
+// draw returns a number below n. rapid.IntRange prefers small numbers, which starves most actions, so the number is
+// made of single bits.
+func (w *world) draw(n int, label string) int {
+	if n == 1 {
+		return 0
+	}
+	return rapid.Custom(func(t *rapid.T) int {
+		for {
+			v := 0
+			for range bits.Len(uint(n - 1)) {
+				v <<= 1
+				if rapid.Bool().Draw(t, "") {
+					v |= 1
+				}
+			}
+			if v < n {
+				return v
+			}
+		}
+	}).Draw(w.t, label)
+}
+
+// Links.
+
+func (w *world) send(from, to string, f func()) {
+	if from == to || w.down[[2]string{from, to}] {
+		return
+	}
+	link := [2]string{from, to}
+	w.queues[link] = append(w.queues[link], f)
+}
+
+// deliver passes on the oldest message of one direction of one link.
+func (w *world) deliver() {
+	links := slices.SortedFunc(maps.Keys(w.queues), func(a, b [2]string) int { return slices.Compare(a[:], b[:]) })
+	if len(links) == 0 {
+		return
+	}
+	link := links[w.draw(len(links), "link")]
+	f := w.queues[link][0]
+	w.queues[link] = w.queues[link][1:]
+	if len(w.queues[link]) == 0 {
+		delete(w.queues, link)
+	}
+	f()
+}
+
+func (w *world) cut(a, b string) {
+	for _, link := range [][2]string{{a, b}, {b, a}} {
+		delete(w.queues, link)
+		w.down[link] = true
+	}
+}
+
+func (w *world) restore(a, b string) {
+	delete(w.down, [2]string{a, b})
+	delete(w.down, [2]string{b, a})
+}
+
+// Entries.
+
+func (w *world) join(id string) {
+	h := &home{alive: true, jobs: map[submission.Job]*job{}, self: wire.Member{
+		ID: id, Incarnation: w.next(), Address: id, Region: []string{"north", "south"}[w.draw(2, "region")],
+	}}
+	h.table = submission.New(submission.Config{Retention: retention, AgentMemory: agentMemory}, h.self)
+	w.homes = append(w.homes, h)
+	w.list, _ = placement.Add(w.list, h.self, w.now)
+	w.adopt(h, w.list)
+	for _, other := range w.homes {
+		if other != h {
+			w.connectHomes(h, other)
+		}
+	}
+	for _, a := range w.agents {
+		w.connectAgent(h, a)
+	}
+}
+
+func (w *world) connectHomes(a, b *home) {
+	if !a.alive || !b.alive {
+		return
+	}
+	w.cut(a.name(), b.name())
+	w.restore(a.name(), b.name())
+	for _, pair := range [][2]*home{{a, b}, {b, a}} {
+		from, to, sender := pair[0], pair[1], pair[0].self
+		w.sendList(from, to)
+		roster := from.table.FullRoster(w.now)
+		w.send(from.name(), to.name(), func() { w.apply(to, to.table.RosterReceived(w.now, sender, roster)) })
+		w.apply(from, from.table.MemberConnected(to.self))
+	}
+}
+
+func (w *world) sendList(from, to *home) {
+	list := from.table.List()
+	w.send(from.name(), to.name(), func() { w.adopt(to, list) })
+}
+
+func (w *world) adopt(h *home, list *wire.EntryList) {
+	if h.alive && list != nil {
+		if list.Version > placement.Version(h.table.List()) {
+			w.t.Logf("%s adopts %+v", h.name(), *list)
+		}
+		w.apply(h, h.table.Adopt(w.now, list))
+	}
+}
+
+// homeOf returns nil for a former incarnation of an entry that joined again.
+func (w *world) homeOf(m wire.Member) *home {
+	for _, h := range w.homes {
+		if placement.SameRun(h.self, m) {
+			return h
+		}
+	}
+	return nil
+}
+
+func (w *world) apply(h *home, a submission.Actions) {
+	if !h.alive {
+		return
+	}
+	if a.Adopted {
+		w.announce(h)
+	}
+	for _, m := range a.Inherit {
+		w.askMember(h, m)
+	}
+	for _, c := range a.Collect {
+		w.askAgent(h, c)
+	}
+	if a.Roster != nil {
+		sender := h.self
+		for _, other := range w.homes {
+			w.send(h.name(), other.name(), func() { w.apply(other, other.table.RosterReceived(w.now, sender, a.Roster)) })
+		}
+	}
+	if a.Recheck {
+		w.recheck(h)
+	}
+}
+
+func (w *world) announce(h *home) {
+	list := h.table.List()
+	for _, other := range w.homes {
+		w.sendList(h, other)
+	}
+	for _, a := range w.agents {
+		w.send(h.name(), a.name(), func() { a.table.Adopt(list) })
+	}
+}
+
+func (w *world) askMember(h *home, m wire.Member) {
+	to, asker, list := w.homeOf(m), h.self, h.table.List()
+	if to == nil {
+		return
+	}
+	w.send(h.name(), to.name(), func() {
+		answer, actions := to.table.InheritReceived(w.now, asker, &wire.Inherit{List: list})
+		holder := to.self
+		if answer.Newer != nil {
+			w.sendList(to, h)
+		} else {
+			w.send(to.name(), h.name(), func() { w.apply(h, h.table.RosterReceived(w.now, holder, answer.Roster)) })
+		}
+		for _, part := range answer.Parts {
+			w.send(to.name(), h.name(), func() { w.apply(h, h.table.InheritedReceived(w.now, holder, part)) })
+		}
+		w.apply(to, actions)
+	})
+}
+
+func (w *world) askAgent(h *home, c submission.CollectFrom) {
+	asker := h.self
+	for _, a := range w.agents {
+		if a.ref != c.Agent {
+			continue
+		}
+		w.send(h.name(), a.name(), func() {
+			parts, newer := a.table.Collect(w.now, c.Message, asker.ID, asker.Incarnation)
+			if newer != nil {
+				w.send(a.name(), h.name(), func() { w.adopt(h, newer) })
+			}
+			for _, part := range parts {
+				w.send(a.name(), h.name(), func() { w.apply(h, h.table.RecordsReceived(w.now, a.ref, part)) })
+			}
+		})
+	}
+}
+
+// handover does what a leaving entry has to do, up to its removal from the list.
+func (w *world) handover(h *home) {
+	for _, o := range h.table.HandoverNext(w.now) {
+		to, sender := w.homeOf(o.To), h.self
+		if to == nil {
+			continue
+		}
+		w.send(h.name(), to.name(), func() {
+			accepted, newer := to.table.HandoverReceived(w.now, o.Message)
+			if newer != nil {
+				w.sendList(to, h)
+			}
+			if accepted {
+				ack, receiver := &wire.HandoverAck{Sequence: o.Message.Sequence}, to.self
+				w.send(to.name(), sender.ID+fmt.Sprintf("/%d", sender.Incarnation), func() { h.table.HandoverAcked(receiver, ack) })
+			}
+		})
+	}
+	done, clean := h.table.HandoverDone()
+	if !done || h.table.List().Version != w.list.Version {
+		return
+	}
+	if clean {
+		w.list, _ = placement.RemoveClean(w.list, h.self.ID, h.self.Incarnation, w.now)
+		w.counts["clean"]++
+	} else {
+		w.list, _ = placement.Expel(w.list, h.self.ID, h.self.Incarnation, w.now)
+	}
+	w.kill(h)
+}
+
+func (w *world) kill(h *home) {
+	h.alive = false
+	for _, other := range w.homes {
+		w.cut(h.name(), other.name())
+	}
+	for _, a := range w.agents {
+		w.cut(h.name(), a.name())
+	}
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -117,7 +117,7 @@
 
 // Start asks an agent to run one attempt of one task.
 type Start struct {
-	// Attempt is unique among all attempts of the home's incarnation.
+	// Attempt is unique among all attempts of the home's incarnation, over all agents, and increases.
 	Attempt uint64 `cbor:"1,keyasint"`
 	// Home and HomeIncarnation identify the entry that owns the job.
 	Home            string `cbor:"2,keyasint"`
@@ -148,6 +148,9 @@
 	// Digest is that of the job, so that recovery from start records still detects the reuse of a key. Zero is not
 	// compared.
 	Digest [16]byte `cbor:"20,keyasint"`
+	// Expires is the deadline of the job by the clock of the home. An agent that reads the message long after it, for
+	// example because it was paused, does not run the task. The zero time is not checked.
+	Expires time.Time `cbor:"21,keyasint"`
 }
 
 // Accepted acknowledges attempts that have no result yet.
@@ -235,6 +238,7 @@
 type Leaving struct{}
 
 // Collect asks an agent to adopt List and to send its start records of an expelled entry that now belong to the sender.
+// It is also used for an entry that left clean before the expulsion of another one, which may have taken its answers.
 type Collect struct {
 	List                *EntryList `cbor:"1,keyasint"`
 	Expelled            string     `cbor:"2,keyasint"`
@@ -434,12 +438,19 @@
 type AgentPresence struct {
 	ID          string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
-	// Gone is set when the agent left after a graceful shutdown.
+	// Gone is set when the agent left after a graceful shutdown or was replaced by another incarnation.
 	Gone bool `cbor:"3,keyasint,omitempty"`
+	// SilentMillis is the time since the sender knew the agent to be connected, or since it learned that the agent is
+	// gone; 0 for an agent that is connected to the sender.
+	SilentMillis uint32 `cbor:"4,keyasint,omitempty"`
+	// StartedAt orders the incarnations of one agent.
+	StartedAt time.Time `cbor:"5,keyasint"`
 }
 
 // AgentRoster tells another entry which agents connected or left. Full is set for the whole set on a new link.
 type AgentRoster struct {
 	Agents []AgentPresence `cbor:"1,keyasint,omitempty"`
 	Full   bool            `cbor:"2,keyasint,omitempty"`
+	// Heard is set with Full: the incarnations of the entries whose whole roster is part of this one.
+	Heard []uint64 `cbor:"3,keyasint,omitempty"`
 }
