--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -107,7 +107,7 @@
 		Long: assignment.Long, Retry: assignment.Retry, DocumentRevision: j.service.revision,
 	}
 	if j.tableJob != 0 {
-		m.ListVersion = c.list.Version
+		m.ListVersion, m.Digest, m.Expires = c.list.Version, j.spec.Digest, j.deadline
 	}
 	return m
 }
