--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"net/url"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/agent"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/upstream"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -22,9 +24,9 @@
 	ended chan error
 }
 
-func runAgent(t testing.TB, upstream string, entries []*testEntry, change ...func(*agent.Options)) *running {
+func runAgent(t testing.TB, upstreamURL string, entries []*testEntry, change ...func(*agent.Options)) *running {
 	t.Helper()
-	base, err := url.Parse(upstream)
+	base, err := url.Parse(upstreamURL)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,21 +52,115 @@
 	return r
 }
 
-// Guards against a broken path from start to result and against lost fields of the answer.
+// newUpstream returns a stand-in upstream that is stopped with the test.
+func newUpstream(t testing.TB, faults upstream.Faults) *upstream.Server {
+	t.Helper()
+	s, err := upstream.New(upstream.Options{Name: "u1", Address: "127.0.0.1:0", Faults: faults, StopTimeout: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = s.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return s
+}
+
+// work makes the task take that many milliseconds at the stand-in.
+func work(millis int) func(*wire.Start) {
+	return func(s *wire.Start) {
+		s.Headers = []wire.Header{{Name: upstream.HeaderWork, Value: strconv.Itoa(millis)}}
+	}
+}
+
+// Guards against a broken path from start to result and against an answer that belongs to another task.
 func TestStartRunsAndReturnsTheAnswer(t *testing.T) {
 	g := gomega.NewWithT(t)
-	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("X-Task", r.Header.Get(agent.HeaderTask))
-		w.WriteHeader(http.StatusTeapot)
-		_, _ = w.Write([]byte("answer"))
-	}))
-	defer upstream.Close()
+	u := newUpstream(t, upstream.Faults{})
 	e := newTestEntry(t, "e1")
-	runAgent(t, upstream.URL, []*testEntry{e})
-	e.send(e.start(1))
+	runAgent(t, u.URL(), []*testEntry{e})
+	e.send(e.start(1, func(s *wire.Start) { s.Task, s.Path, s.Body = 3, "/run?x=1", []byte("payload") }))
 	r := e.waitResult(1)
 	g.Expect(r.State).To(gomega.Equal(wire.AttemptDone))
-	g.Expect(r.Status).To(gomega.BeEquivalentTo(http.StatusTeapot))
-	g.Expect(string(r.Body)).To(gomega.Equal("answer"))
-	g.Expect(r.Headers).To(gomega.ContainElement(wire.Header{Name: "X-Task", Value: "65010000000000000000000000000000/0"}))
+	g.Expect(r.Status).To(gomega.BeEquivalentTo(http.StatusOK))
+	var answer upstream.Answer
+	g.Expect(json.Unmarshal(r.Body, &answer)).To(gomega.Succeed())
+	g.Expect(answer.Task).To(gomega.Equal("31010000000000000000000000000000/3"))
+	g.Expect(answer.Path).To(gomega.Equal("/run?x=1"))
+	g.Expect(answer.Attempt).To(gomega.Equal("1"))
+	g.Expect(answer.BodyBytes).To(gomega.Equal(len("payload")))
+}
+
+// Guards against a task of one submission that starts twice, and against a second answer that differs from the first.
+func TestSecondStartOfATaskReturnsTheRecord(t *testing.T) {
+	g := gomega.NewWithT(t)
+	u := newUpstream(t, upstream.Faults{})
+	e := newTestEntry(t, "e1")
+	runAgent(t, u.URL(), []*testEntry{e})
+	first := e.start(1)
+	e.send(first)
+	answer := e.waitResult(1).Body
+	e.send(e.start(2, func(s *wire.Start) { s.Key = first.Key }))
+	r := e.waitResult(2)
+	g.Expect(r.Reason).To(gomega.Equal(wire.RefusedDuplicate))
+	g.Expect(r.Recorded).To(gomega.Equal(wire.AttemptDone))
+	g.Expect(r.Body).To(gomega.Equal(answer))
+	g.Expect(u.Counters().Starts).To(gomega.BeEquivalentTo(1))
+}
+
+// Guards against an untrue outcome when the upstream misbehaves: only a refused connection is "not started".
+func TestFaultsOfTheUpstream(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults upstream.Faults
+		change func(*wire.Start)
+		state  wire.AttemptState
+		reason wire.RefusalReason
+		starts int
+	}{
+		{"down", upstream.Faults{Refuse: true}, work(0), wire.AttemptRefused, wire.RefusedDown, 0},
+		{"hangs", upstream.Faults{Hang: true}, func(s *wire.Start) { s.BudgetMillis = 200 }, wire.AttemptUnknown, 0, 1},
+		{"resets after the work", upstream.Faults{Reset: true}, work(10), wire.AttemptUnknown, 0, 1},
+		{"fails", upstream.Faults{Fail: true}, work(0), wire.AttemptDone, 0, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			u := newUpstream(t, c.faults)
+			e := newTestEntry(t, "e1")
+			runAgent(t, u.URL(), []*testEntry{e})
+			e.send(e.start(1, c.change))
+			r := e.waitResult(1)
+			g.Expect(r.State).To(gomega.Equal(c.state))
+			g.Expect(r.Reason).To(gomega.Equal(c.reason))
+			g.Expect(u.Counters().Starts).To(gomega.BeEquivalentTo(c.starts))
+			g.Expect(u.SetFaults(upstream.Faults{})).To(gomega.Succeed())
+			e.send(e.start(2))
+			g.Expect(e.waitResult(2).State).To(gomega.Equal(wire.AttemptDone), "the agent recovers with the upstream")
+		})
+	}
+}
+
+// Guards against a cancelled or late task that starts all the same, and against a cancelled one that interrupts a
+// running one.
+func TestWaitingTasksAreCancelledAndExpire(t *testing.T) {
+	g := gomega.NewWithT(t)
+	u := newUpstream(t, upstream.Faults{})
+	e := newTestEntry(t, "e1")
+	runAgent(t, u.URL(), []*testEntry{e}, func(o *agent.Options) { o.Slots, o.Queue = 1, 2 })
+	e.send(&wire.Cancel{Attempts: []uint64{5}})
+	e.send(e.start(1, work(400)))
+	e.send(e.start(2))
+	e.send(e.start(3, func(s *wire.Start) { s.BudgetMillis = 150 }))
+	e.send(e.start(4))
+	e.send(e.start(5))
+	e.send(&wire.Cancel{Attempts: []uint64{1, 2}})
+	g.Expect(e.waitResult(4).Reason).To(gomega.Equal(wire.RefusedBusy))
+	g.Expect(e.waitResult(2).Reason).To(gomega.Equal(wire.RefusedCancelled))
+	g.Expect(e.waitResult(3).Reason).To(gomega.Equal(wire.RefusedExpired))
+	g.Expect(e.waitResult(5).Reason).To(gomega.Equal(wire.RefusedCancelled))
+	g.Expect(e.waitResult(1).State).To(gomega.Equal(wire.AttemptDone))
+	g.Expect(u.Counters().Starts).To(gomega.BeEquivalentTo(1))
+	g.Expect(received[*wire.Accepted](e)).NotTo(gomega.BeEmpty())
+	g.Expect(received[*wire.Accepted](e)[0].Attempts).To(gomega.ContainElement(uint64(1)))
 }
--- /dev/null
+++ b/internal/agent/drain_test.go
@@ -0,0 +1,100 @@
+package agent_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/agent"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/upstream"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Guards against a planned stop that cuts a request: under load, every start that was sent until the agent has gone gets
+// its answer or a refusal, and nothing starts after the agent has announced that it leaves.
+func TestDrainUnderLoadCutsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	u := newUpstream(t, upstream.Faults{})
+	entries := []*testEntry{newTestEntry(t, "e1"), newTestEntry(t, "e2")}
+	a := runAgent(t, u.URL(), entries)
+	sent := make([]uint64, len(entries))
+	for _, e := range entries {
+		e.waitLinked()
+	}
+	const before, after = 60, 20
+	for i := range uint64(before + after) {
+		if i == before {
+			a.stop()
+		}
+		for n, e := range entries {
+			if links := e.open(); len(links) > 0 && links[0].Send(e.start(i+1, work(30))) == nil {
+				sent[n]++
+			}
+		}
+		time.Sleep(4 * time.Millisecond)
+	}
+	select {
+	case err := <-a.ended:
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	case <-time.After(10 * time.Second):
+		t.Fatal("the shutdown did not end")
+	}
+	done := 0
+	for n, e := range entries {
+		g.Expect(sent[n]).To(gomega.BeEquivalentTo(before+after), "the link was open for the whole load")
+		left := false
+		for attempt := uint64(1); attempt <= sent[n]; attempt++ {
+			r := e.waitResult(attempt)
+			g.Expect(r.State).To(gomega.BeElementOf(wire.AttemptDone, wire.AttemptRefused))
+			g.Expect(r.Reason).To(gomega.BeElementOf(wire.RefusedNone, wire.RefusedBusy, wire.RefusedLeaving))
+			left = left || r.Reason == wire.RefusedLeaving
+			if r.State == wire.AttemptDone {
+				g.Expect(left).To(gomega.BeFalse(), "no start after the first refusal for leaving")
+				done++
+			}
+		}
+		g.Expect(left).To(gomega.BeTrue())
+		g.Expect(received[*wire.Leaving](e)).NotTo(gomega.BeEmpty())
+	}
+	c := u.Counters()
+	g.Expect(c.Answered).To(gomega.BeEquivalentTo(done))
+	g.Expect(c.Starts).To(gomega.Equal(c.Answered))
+}
+
+// Guards against an agent that exits before an answer has reached an entry whose link was cut during the shutdown.
+func TestDrainDeliversOverANewLink(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	u := newUpstream(t, upstream.Faults{})
+	e := newTestEntry(t, "e1")
+	a := runAgent(t, u.URL(), []*testEntry{e})
+	e.send(e.start(1, work(200)))
+	g.Eventually(func() uint64 { return u.Counters().Starts }, 5*time.Second, time.Millisecond).Should(gomega.BeEquivalentTo(1))
+	e.close()
+	a.stop()
+	g.Eventually(func() uint64 { return u.Counters().Answered }, 5*time.Second).Should(gomega.BeEquivalentTo(1))
+	time.Sleep(700 * time.Millisecond) // longer than an agent with every answer delivered would stay
+	e.listen(e.address)
+	e.send(&wire.Query{Attempts: []uint64{1}})
+	g.Expect(e.waitResult(1).State).To(gomega.Equal(wire.AttemptDone))
+	g.Expect(e.hello()[1].Leaving).To(gomega.BeTrue())
+	g.Expect(<-a.ended).To(gomega.Succeed())
+}
+
+// Guards against a shutdown that waits for a hanging upstream without bound.
+func TestStopTimeoutBoundsTheDrain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	u := newUpstream(t, upstream.Faults{Hang: true})
+	e := newTestEntry(t, "e1")
+	a := runAgent(t, u.URL(), []*testEntry{e}, func(o *agent.Options) { o.StopTimeout = 300 * time.Millisecond })
+	e.send(e.start(1, func(s *wire.Start) { s.BudgetMillis = 60_000 }))
+	g.Eventually(func() uint64 { return u.Counters().Starts }, 5*time.Second, time.Millisecond).Should(gomega.BeEquivalentTo(1))
+	a.stop()
+	select {
+	case err := <-a.ended:
+		g.Expect(err).To(gomega.MatchError(agent.ErrStopTimeout))
+	case <-time.After(8 * time.Second):
+		t.Fatal("the shutdown did not end")
+	}
+}
--- a/internal/agent/entry_test.go
+++ b/internal/agent/entry_test.go
@@ -41,7 +41,7 @@
 
 func newTestEntry(t testing.TB, id string) *testEntry {
 	t.Helper()
-	e := &testEntry{t: t, id: id, incarnation: 7, results: map[uint64][]*wire.Result{}}
+	e := &testEntry{t: t, id: id, incarnation: uint64(id[1]), results: map[uint64][]*wire.Result{}}
 	e.listen("127.0.0.1:0")
 	t.Cleanup(e.close)
 	return e
@@ -141,7 +141,7 @@
 		Attempt: attempt, Home: e.id, HomeIncarnation: e.incarnation, Task: 0, Tasks: 1,
 		Service: "bench", Kind: "run", Method: http.MethodPost, Path: "/run", BudgetMillis: 5000,
 	}
-	s.Key[0], s.Key[1], s.Key[2] = e.id[0], byte(attempt), byte(attempt>>8)
+	s.Key[0], s.Key[1], s.Key[2] = e.id[1], byte(attempt), byte(attempt>>8)
 	for _, c := range change {
 		c(s)
 	}
@@ -177,3 +177,10 @@
 	}
 	return all
 }
+
+// hello returns the hellos of all links so far.
+func (e *testEntry) hello() []wire.Hello {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]wire.Hello(nil), e.hellos...)
+}
