Watch a small index instead of all records

A recursive watch on coltsfootspur/ returned every record with its history at each change of any key.

Entries now watch coltsfootspur/watch/ only: the list of entries, the leases and an index of service to revision and edit id. The editor raises the index after the record, and a put that could not do so ends with exit code 8. Entries read the records that the index shows as newer, all records at the start, and one of them reads all records every 10 min, which finds records that never got into the index. The wait of the watch is 55 s while every member has its lease, else half the expulsion delay. An older or missing index, record or list is repaired as before. The expulsion delay begins anew after an outage of the store, in which nobody could renew a lease.

A key per service in place of one index was ruled out: the answer of a recursive watch would carry a key, six numbers and base64 for each. Names of fields in the index were left out, since they would add a third to it.

A wait of 55 s would hide a connection that went silent for a minute, so the adapter uses keep-alive probes that close such a connection within 6 s. This was not tried against a network that drops packets.

--- a/internal/command/service.go
+++ b/internal/command/service.go
@@ -23,6 +23,8 @@
 	ExitNotFound = 6
 	// ExitUnclear: the edit may have been accepted or may still take effect; the history tells.
 	ExitUnclear = 7
+	// ExitNotIndexed: the edit was accepted and must not be repeated; it may come into force late.
+	ExitNotIndexed = 8
 )
 
 // Bounds of the time for a whole subcommand.
@@ -103,6 +105,8 @@
 
 func classify(err error) failure {
 	switch {
+	case errors.Is(err, document.ErrNotIndexed):
+		return failure{ExitNotIndexed, "not_indexed"}
 	case errors.Is(err, document.ErrConflict):
 		return failure{ExitConflict, "conflict"}
 	case errors.Is(err, document.ErrInvalid):
--- a/internal/command/service_output.go
+++ b/internal/command/service_output.go
@@ -38,7 +38,7 @@
 
 // jsonError is an error in JSON.
 type jsonError struct {
-	// Code is conflict, invalid, unreachable, not_found, unclear or failure.
+	// Code is conflict, invalid, unreachable, not_found, unclear, not_indexed or failure.
 	Code    string `json:"code"`
 	Message string `json:"message"`
 	// Current is the present revision, set with conflict.
--- a/internal/command/service_test.go
+++ b/internal/command/service_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
 	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
@@ -82,6 +83,7 @@
 		s.Expect(s.run(append(args, "--json")...)).To(gomega.Equal(5), strings.Join(args, " "))
 		s.Expect(s.errorCode()).To(gomega.Equal("unreachable"))
 	}
+	s.Expect(classify(eris.Wrap(document.ErrNotIndexed, "bench"))).To(gomega.Equal(failure{8, "not_indexed"}))
 	invalid := s.file("service: bench\nslots: x\n")
 	for _, args := range [][]string{{"validate", invalid}, {"put", invalid, "--expect-revision", "1"}} {
 		s.Expect(s.run(append(args, "--json")...)).To(gomega.Equal(4))
--- a/internal/command/service_watch.go
+++ b/internal/command/service_watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -33,9 +34,10 @@
 		return out.fail(err)
 	}
 	defer store.Close()
-	registry, index, failing := document.NewRegistry(), uint64(0), false
+	w := &serviceWatch{serviceCommand: s, out: out, store: store, registry: document.NewRegistry()}
+	failing := false
 	for ctx.Err() == nil {
-		snapshot, err := store.Watch(ctx, document.Prefix, index, watchWait)
+		err := w.next(ctx)
 		if ctx.Err() != nil {
 			break
 		}
@@ -47,12 +49,63 @@
 			pause(ctx, watchRetry)
 			continue
 		}
-		failing, index = false, snapshot.Index
-		s.printChanges(out, registry, snapshot.Entries)
+		failing = false
 	}
 	return ExitOK
 }
 
+// serviceWatch follows the index of the documents and reads the records that it shows as changed.
+type serviceWatch struct {
+	*serviceCommand
+	out      *output
+	store    platform.Store
+	registry *document.Registry
+	loaded   bool
+	// at is the position of the last snapshot of the index.
+	at uint64
+}
+
+// next prints all revisions at the first call, and what changed at a later one.
+func (w *serviceWatch) next(ctx context.Context) error {
+	if !w.loaded {
+		all, err := w.store.List(ctx, document.Prefix)
+		if err != nil {
+			return err
+		}
+		w.loaded = true
+		w.printChanges(w.out, w.registry, all.Entries)
+	}
+	snapshot, err := w.store.Watch(ctx, document.IndexKey, w.at, watchWait)
+	if err != nil {
+		return err
+	}
+	for _, entry := range snapshot.Entries {
+		index, err := document.DecodeIndex(entry.Value)
+		if entry.Key != document.IndexKey || err != nil {
+			continue
+		}
+		if err := w.read(ctx, w.registry.Outdated(index)); err != nil {
+			return err
+		}
+	}
+	w.at = snapshot.Index
+	return nil
+}
+
+func (w *serviceWatch) read(ctx context.Context, services []string) error {
+	for _, service := range services {
+		entry, err := w.store.Get(ctx, document.Key(service))
+		if errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		w.printChanges(w.out, w.registry, []platform.Entry{entry})
+	}
+	return nil
+}
+
 func (s *serviceCommand) printChanges(out *output, registry *document.Registry, entries []platform.Entry) {
 	changes, corrupt := registry.ApplySnapshot(entries)
 	for _, c := range corrupt {
--- a/internal/document/editor.go
+++ b/internal/document/editor.go
@@ -71,8 +71,8 @@
 }
 
 // Put checks a document and writes it as the revision after the expected one. Errors: ErrInvalid, ErrConflict,
-// ErrUnreachable and ErrRefused (all without effect), and ErrUnclear. The context limits how long an answer that did
-// not come is looked for.
+// ErrUnreachable and ErrRefused (all without effect), ErrUnclear, and ErrNotIndexed, which comes with the document. The
+// context limits how long an answer that did not come is looked for.
 func (e *Editor) Put(ctx context.Context, edit Edit) (Document, error) {
 	if _, err := parseFor(Document{Service: edit.Service, Body: string(edit.Body)}); err != nil {
 		return Document{}, err
@@ -109,7 +109,20 @@
 		return Document{}, err
 	}
 	w := &pendingWrite{editor: e, next: next, value: value, version: version}
-	return w.settle(ctx)
+	accepted, err := w.settle(ctx)
+	if err != nil {
+		return Document{}, err
+	}
+	return accepted, e.raiseIndex(ctx, accepted)
+}
+
+// raiseIndex tells the entries of a record that was written.
+func (e *Editor) raiseIndex(ctx context.Context, d Document) error {
+	err := RaiseIndex(ctx, e.store, e.clock, Index{d.Service: d.Position()})
+	if err != nil {
+		return eris.Wrapf(ErrNotIndexed, "revision %d of %s, edit %s: %s", d.Revision, d.Service, d.EditID, eris.ToString(err, false))
+	}
+	return nil
 }
 
 // read returns the record of a service with its version in the store; both are zero without one.
--- a/internal/document/errors.go
+++ b/internal/document/errors.go
@@ -20,6 +20,9 @@
 	ErrUnreachable = eris.New("documents cannot be reached")
 	// ErrUnclear means that it is not known whether an edit was accepted. It may still take effect.
 	ErrUnclear = eris.New("outcome of the edit is unclear")
+	// ErrNotIndexed means that an edit was accepted, but its revision may be missing in the index. It does not get lost:
+	// the entries find it in their full check and raise the index.
+	ErrNotIndexed = eris.New("edit was accepted, but the entries may learn of it late")
 	// ErrRefused means that the store refuses the request, for example its access token. Nothing was written.
 	ErrRefused = eris.New("edit was refused by the store")
 	// ErrCorrupt means that a stored or received document cannot be decoded.
--- a/internal/document/record.go
+++ b/internal/document/record.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// Prefix begins the store key of every document; the name of the service follows.
+	// Prefix begins the store key of every record; the name of the service follows. Nobody watches it, because a watch
+	// would return every record with its history at each edit.
 	Prefix = platform.Prefix + "services/"
 	// MaxHistory is the number of former revisions that a record keeps.
 	MaxHistory = 20
@@ -40,12 +41,10 @@
 
 // newerThan orders revisions. Two edits can share a revision number only after the store was restored from older data;
 // the edit id then decides, so that every process ends with the same document.
-func (d Document) newerThan(other Document) bool {
-	if d.Revision != other.Revision {
-		return d.Revision > other.Revision
-	}
-	return d.EditID > other.EditID
-}
+func (d Document) newerThan(other Document) bool { return d.Position().newerThan(other.Position()) }
+
+// Position returns what the index shows for the revision.
+func (d Document) Position() Position { return Position{Revision: d.Revision, EditID: d.EditID} }
 
 // Past is a former revision in a record.
 type Past struct {
--- a/internal/document/registry.go
+++ b/internal/document/registry.go
@@ -120,6 +120,29 @@
 	return missing
 }
 
+// Outdated returns the services that the index shows at a newer revision than the held one, sorted.
+func (r *Registry) Outdated(index Index) []string {
+	var services []string
+	for service, p := range index {
+		if nameRule.pattern.MatchString(service) && p.newerThan(r.held[service].document.Position()) {
+			services = append(services, service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
+// Ahead returns the held documents that are newer than what the index shows, sorted by service.
+func (r *Registry) Ahead(index Index) []Document {
+	var ahead []Document
+	for _, service := range r.Services() {
+		if d := r.held[service].document; d.Position().newerThan(index[service]) {
+			ahead = append(ahead, d)
+		}
+	}
+	return ahead
+}
+
 func hash(d Document) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(d.Service)) // a hash never fails
--- a/internal/document/repair.go
+++ b/internal/document/repair.go
@@ -47,7 +47,7 @@
 	}
 	var repairs []Repair
 	for _, service := range r.Services() {
-		repair, needed, err := repairOf(r.held[service].document, shown[Key(service)])
+		repair, needed, err := RepairOf(r.held[service].document, shown[Key(service)])
 		if err != nil {
 			return nil, err
 		}
@@ -59,7 +59,7 @@
 }
 
 // repairOf keeps the history that the store shows, with its present revision on top.
-func repairOf(d Document, entry platform.Entry) (Repair, bool, error) {
+func RepairOf(d Document, entry platform.Entry) (Repair, bool, error) {
 	var record Record
 	if entry.Version != 0 {
 		var err error
--- a/internal/document/settle.go
+++ b/internal/document/settle.go
@@ -60,7 +60,7 @@
 			return Document{}, w.conflict(current)
 		}
 		send = verdict == verdictPending
-		if !w.sleep(ctx, wait) {
+		if !sleep(ctx, w.editor.clock, wait) {
 			return Document{}, eris.Wrapf(ErrUnclear, "edit %s of %s", w.next.EditID, w.next.Service)
 		}
 		wait = min(2*wait, maxWait)
@@ -125,18 +125,3 @@
 		Service: w.next.Service, Expected: w.next.Revision - 1, Current: current.Document(w.next.Service),
 	}
 }
-
-// sleep waits and reports whether ctx is still in force.
-func (w *pendingWrite) sleep(ctx context.Context, d time.Duration) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	timer := w.editor.clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C():
-		return true
-	}
-}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -44,10 +44,14 @@
 
 	lastJob, lastAttempt, lastRequest uint64
 
+	// seen is the last snapshot of the watched keys, seenAt its time.
+	seen   *snapshot
+	seenAt time.Time
 	// leaseGoneSince has, by incarnation, when the store first showed no lease of a member.
 	leaseGoneSince map[uint64]time.Time
-	// changing and repairing are set while a write to the store is under way.
-	changing, repairing bool
+	// changing is set while a change of the list is under way.
+	changing bool
+	records  records
 	// stopping is set from the begin of a graceful shutdown; the entry then does not join the list again.
 	stopping bool
 }
@@ -62,6 +66,7 @@
 		jobs: make(map[uint64]*job), running: make(map[wire.KeyHash]*job), tableJobs: make(map[table.Job]*job),
 		forwards: make(map[uint64]*forward), waiting: make(map[*waiting]struct{}),
 		leaseGoneSince: make(map[uint64]time.Time),
+		seen:           newSnapshot(), records: records{interval: fullCheckInterval},
 	}
 	c.table = table.New(table.Config{
 		Retention: e.options.Retention, MaxEntries: e.options.TableEntries, MaxAnswerBytes: e.options.TableBytes,
--- a/internal/entry/documents.go
+++ b/internal/entry/documents.go
@@ -1,9 +1,6 @@
 package entry
 
 import (
-	"context"
-	"errors"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,7 +8,6 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
 	"github.com/coltsfootspur/coltsfootspur/internal/quota"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
@@ -20,46 +16,6 @@
 // and the receiver gets the document on the next one, within the bound of 4 s.
 const documentProbe = 500 * time.Millisecond
 
-// maxRepairDelay spreads the writes of entries that all see a store with older data.
-const maxRepairDelay = 2 * time.Second
-
-// documentsSeen applies what the store shows and repairs a store that shows older revisions.
-func (c *control) documentsSeen(entries []platform.Entry) {
-	changes, problems := c.documents.ApplySnapshot(entries)
-	for _, problem := range problems {
-		c.log.WithField("cause", eris.ToString(problem, false)).Error("document: cannot read a document of the store")
-	}
-	for _, change := range changes {
-		c.documentChanged(change)
-	}
-	repairs, err := c.documents.Repairs(entries)
-	if err != nil {
-		c.log.WithField("cause", eris.ToString(err, false)).Error("document: cannot compute repairs of the store")
-		return
-	}
-	if len(repairs) > 0 && !c.repairing {
-		c.repairing = true
-		go c.entry.repairStore(repairs)
-	}
-}
-
-// repairStore writes newer revisions back. Another entry may be faster; its write makes this one a conflict.
-func (e *Entry) repairStore(repairs []document.Repair) {
-	e.sleep(e.background, rand.N(maxRepairDelay))
-	for _, r := range repairs {
-		err := e.withStore(e.background, func(ctx context.Context) error {
-			return e.options.Store.CompareAndSwap(ctx, r.Key, r.Value, r.Version)
-		})
-		if err == nil {
-			e.log.WithField("service", r.Service).Warn("document: wrote a newer revision back to the store")
-		} else if !errors.Is(err, platform.ErrConflict) {
-			e.log.WithField("service", r.Service).WithField("cause", eris.ToString(err, false)).
-				Warn("document: cannot write a newer revision back to the store")
-		}
-	}
-	e.post(func(c *control) { c.repairing = false })
-}
-
 // documentReceived applies a document that another entry pushed.
 func (c *control) documentReceived(m *wire.DocumentPush) {
 	change, applied, err := c.documents.ApplyPush(m)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -60,9 +60,12 @@
 	}
 }
 
-// storeSeen handles a snapshot of the store.
-func (c *control) storeSeen(s *snapshot) {
-	c.documentsSeen(s.documents)
+// storeSeen handles a snapshot of the watched keys and returns how long the next watch waits.
+func (c *control) storeSeen(s *snapshot) time.Duration {
+	if c.now.Sub(c.seenAt) > c.snapshotGap() {
+		clear(c.leaseGoneSince)
+	}
+	c.seen, c.seenAt = s, c.now
 	if s.list != nil && s.list.Version > c.list.Version {
 		c.adoptList(s.list)
 	}
@@ -72,6 +75,32 @@
 	c.joinList()
 	c.watchLeases(s)
 	c.pruneList()
+	c.indexSeen(s)
+	if c.isSettled(s) {
+		return watchWait
+	}
+	return c.options.ExpulsionDelay / watchWaitShare
+}
+
+// snapshotGap is the longest time between two snapshots that both count towards the expulsion delay. After a longer gap,
+// for example an outage, the others had no way to renew their leases, so the delay begins anew.
+func (c *control) snapshotGap() time.Duration {
+	return c.options.ExpulsionDelay/watchWaitShare + 2*storeTimeout
+}
+
+// isSettled tells whether the store shows this entry's list with the lease of every member. Otherwise what is still to be
+// done waits for the next snapshot.
+func (c *control) isSettled(s *snapshot) bool {
+	_, member := c.membership()
+	if !member || placement.Version(s.list) != c.list.Version {
+		return false
+	}
+	for _, m := range c.list.Members {
+		if !s.holds(m) {
+			return false
+		}
+	}
+	return true
 }
 
 // restoredList writes the known list back to a store that was restored from older data.
@@ -112,7 +141,7 @@
 func (c *control) watchLeases(s *snapshot) {
 	state, member := c.membership()
 	for _, m := range c.list.Members {
-		if m.ID == c.options.ID || s.leases[m.ID] == m.Incarnation {
+		if m.ID == c.options.ID || s.holds(m) {
 			delete(c.leaseGoneSince, m.Incarnation)
 			continue
 		}
--- /dev/null
+++ b/internal/entry/records.go
@@ -0,0 +1,183 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/document"
+	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Times of the reads and repairs of records.
+const (
+	// fullCheckInterval is the mean time between two reads of all records by one entry. It bounds how long an edit whose
+	// editor died before it raised the index stays unknown.
+	fullCheckInterval = 10 * time.Minute
+	// checkJitter is the share by which the interval varies at random.
+	checkJitter = 0.1
+	// checkAfterRestore is the time until the check that follows the restore of a store. By then leases are taken again,
+	// so that one entry knows that the check is its own.
+	checkAfterRestore = 10 * time.Second
+)
+
+// records is the state of the reads of records. All records are read at the start; later the index tells which to read.
+type records struct {
+	interval time.Duration
+	// loaded is set when all records were read once.
+	loaded bool
+	// checking, fetching and repairing are set while such calls are under way.
+	checking, fetching, repairing bool
+	nextCheck                     *timerEntry
+}
+
+// indexSeen reads the records that are newer than the documents here, and repairs a store that shows older ones.
+func (c *control) indexSeen(s *snapshot) {
+	if !c.records.loaded {
+		c.checkRecords()
+		return
+	}
+	if s.wentBack {
+		c.planCheck(checkAfterRestore)
+	}
+	c.fetchRecords()
+	c.repairStore()
+}
+
+// planCheck plans the next read of all records. Only one entry carries it out, and the others learn from that one.
+func (c *control) planCheck(after time.Duration) {
+	c.timers.cancel(c.records.nextCheck)
+	jitter := 1 + checkJitter*(2*c.random.Float64()-1)
+	at := c.now.Add(time.Duration(float64(after) * jitter))
+	c.records.nextCheck = c.timers.add(at, func(time.Time) {
+		if c.isChecker() {
+			c.checkRecords()
+			return
+		}
+		c.planCheck(c.records.interval)
+	})
+}
+
+// isChecker tells whether this entry reads all records for the others: it is the first active member that reaches the
+// store, as its lease shows.
+func (c *control) isChecker() bool {
+	first := wire.Member{}
+	for _, m := range c.list.Members {
+		if m.State == wire.MemberActive && c.seen.holds(m) && (first.ID == "" || m.ID < first.ID) {
+			first = m
+		}
+	}
+	return first.Incarnation == c.incarnation
+}
+
+// checkRecords reads all records in the background.
+func (c *control) checkRecords() {
+	if c.records.checking {
+		return
+	}
+	c.records.checking = true
+	go c.entry.readRecords()
+}
+
+func (e *Entry) readRecords() {
+	var all platform.Snapshot
+	err := e.withStore(e.background, func(ctx context.Context) (err error) {
+		all, err = e.options.Store.List(ctx, document.Prefix)
+		return err
+	})
+	e.post(func(c *control) { c.recordsRead(all.Entries, err) })
+}
+
+// recordsRead applies all records of the store and repairs those that are older.
+func (c *control) recordsRead(entries []platform.Entry, err error) {
+	c.records.checking = false
+	if err != nil {
+		c.log.WithField("cause", eris.ToString(err, false)).Warn("document: cannot read the records of the store")
+		c.timers.add(c.now.Add(storeRetryDelay), func(time.Time) { c.checkRecords() })
+		return
+	}
+	c.records.loaded = true
+	c.planCheck(c.records.interval)
+	c.recordsSeen(entries)
+	repairs, err := c.documents.Repairs(entries)
+	if err != nil {
+		c.log.WithField("cause", eris.ToString(err, false)).Error("document: cannot compute repairs of the store")
+	}
+	if len(repairs) > 0 {
+		go c.entry.writeRepairs(repairs)
+	}
+	c.fetchRecords()
+	c.repairStore()
+}
+
+// recordsSeen applies records of the store.
+func (c *control) recordsSeen(entries []platform.Entry) {
+	changes, problems := c.documents.ApplySnapshot(entries)
+	for _, problem := range problems {
+		c.log.WithField("cause", eris.ToString(problem, false)).Error("document: cannot read a document of the store")
+	}
+	for _, change := range changes {
+		c.documentChanged(change)
+	}
+}
+
+// fetchRecords reads the records that the index shows at a newer revision.
+func (c *control) fetchRecords() {
+	s := c.seen
+	services := c.documents.Outdated(s.index)
+	if c.records.fetching || !c.records.loaded || len(services) == 0 {
+		return
+	}
+	c.records.fetching = true
+	go c.entry.fetchRecords(services, func(c *control, failed bool) {
+		c.records.fetching = false
+		if failed {
+			c.timers.add(c.now.Add(storeRetryDelay), func(time.Time) { c.fetchRecords() })
+		} else if c.seen != s {
+			c.fetchRecords()
+		}
+	})
+}
+
+// fetchRecords reads one record after the other. It leaves out a service of which another entry pushed the document
+// meanwhile.
+func (e *Entry) fetchRecords(services []string, done func(c *control, failed bool)) {
+	failed := false
+	for _, service := range services {
+		var outdated bool
+		if e.call(e.background, func(c *control) { outdated = c.isOutdated(service) }) != nil {
+			return
+		}
+		if !outdated {
+			continue
+		}
+		record, err := e.readRecord(service)
+		if err != nil {
+			e.log.WithField("service", service).WithField("cause", eris.ToString(err, false)).
+				Warn("document: cannot read a record of the store")
+			failed = true
+			continue
+		}
+		e.post(func(c *control) { c.recordsSeen([]platform.Entry{record}) })
+	}
+	e.post(func(c *control) { done(c, failed) })
+}
+
+func (c *control) isOutdated(service string) bool {
+	return len(c.documents.Outdated(document.Index{service: c.seen.index[service]})) > 0
+}
+
+// readRecord returns the key of a record. Its version is 0 if it does not exist.
+func (e *Entry) readRecord(service string) (record platform.Entry, err error) {
+	err = e.withStore(e.background, func(ctx context.Context) (err error) {
+		record, err = e.options.Store.Get(ctx, document.Key(service))
+		return err
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Entry{}, nil
+	}
+	return record, err
+}
--- /dev/null
+++ b/internal/entry/repair.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/document"
+	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+)
+
+// Times of the repairs.
+const (
+	// minRepairDelay and maxRepairDelay spread the repairs of entries that all see a store with older data. Until the delay
+	// is over, a snapshot that was only late has been followed by the next one.
+	minRepairDelay = 500 * time.Millisecond
+	maxRepairDelay = 2500 * time.Millisecond
+	// raiseTimeout bounds the attempts to raise the index.
+	raiseTimeout = 10 * time.Second
+)
+
+func repairDelay() time.Duration { return minRepairDelay + rand.N(maxRepairDelay-minRepairDelay) }
+
+// repairStore repairs index and records in the background if the index shows older revisions than the documents here.
+// That is so after the store was restored from older data, and when an editor died between record and index.
+func (c *control) repairStore() {
+	if c.records.repairing || !c.records.loaded || len(c.documents.Ahead(c.seen.index)) == 0 {
+		return
+	}
+	c.records.repairing = true
+	go c.entry.repairStore()
+}
+
+// repairStore brings the records up to date and then raises the index once for all of them.
+func (e *Entry) repairStore() {
+	e.sleep(e.background, repairDelay())
+	var ahead []document.Document
+	if e.call(e.background, func(c *control) { ahead = c.documents.Ahead(c.seen.index) }) != nil {
+		return
+	}
+	repaired := document.Index{}
+	for _, d := range ahead {
+		if e.repairRecord(d) == nil {
+			repaired[d.Service] = d.Position()
+		}
+	}
+	err := e.raiseIndex(repaired)
+	e.post(func(c *control) {
+		c.records.repairing = false
+		if err != nil || len(repaired) < len(ahead) {
+			c.timers.add(c.now.Add(storeRetryDelay), func(time.Time) { c.repairStore() })
+		}
+	})
+}
+
+// repairRecord writes a document back if its record is older or missing. A newer record is applied.
+func (e *Entry) repairRecord(d document.Document) error {
+	record, err := e.readRecord(d.Service)
+	if err != nil {
+		return err
+	}
+	repair, needed, err := document.RepairOf(d, record)
+	if err != nil {
+		return err
+	}
+	if needed {
+		return e.writeRepair(repair)
+	}
+	e.post(func(c *control) { c.recordsSeen([]platform.Entry{record}) })
+	return nil
+}
+
+// writeRepairs carries out the repairs that a read of all records showed.
+func (e *Entry) writeRepairs(repairs []document.Repair) {
+	e.sleep(e.background, repairDelay())
+	for _, r := range repairs {
+		_ = e.writeRepair(r) // logged; the next check tries again
+	}
+}
+
+// writeRepair writes a newer revision back. Another entry may be faster; its write makes this one a conflict.
+func (e *Entry) writeRepair(r document.Repair) error {
+	err := e.withStore(e.background, func(ctx context.Context) error {
+		return e.options.Store.CompareAndSwap(ctx, r.Key, r.Value, r.Version)
+	})
+	entry := e.log.WithField("service", r.Service)
+	if err == nil {
+		entry.Warn("document: wrote a newer revision back to the store")
+	} else if !errors.Is(err, platform.ErrConflict) {
+		entry.WithField("cause", eris.ToString(err, false)).Warn("document: cannot write a newer revision back to the store")
+	}
+	return err
+}
+
+func (e *Entry) raiseIndex(positions document.Index) error {
+	if len(positions) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(e.background, raiseTimeout)
+	defer cancel()
+	err := document.RaiseIndex(ctx, e.options.Store, e.options.Clock, positions)
+	if err != nil {
+		e.log.WithField("cause", eris.ToString(err, false)).Warn("document: cannot raise the index of the documents")
+	}
+	return err
+}
--- a/internal/entry/storesync.go
+++ b/internal/entry/storesync.go
@@ -9,22 +9,29 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/document"
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/platform"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
-// Keys in the store.
+// Keys in the store. All of them are watched.
 const (
-	listKey        = platform.Prefix + "entries"
-	leasePrefix    = platform.Prefix + "leases/entries/"
-	documentPrefix = platform.Prefix + "services/"
+	listKey     = platform.WatchPrefix + "entries"
+	leasePrefix = platform.WatchPrefix + "leases/"
 )
 
 // Times of the calls to the store.
 const (
-	// watchWait bounds one waiting watch, so that a removed lease is confirmed by a later snapshot in time.
-	watchWait = 5 * time.Second
+	// watchWait bounds one waiting watch while nothing is amiss. Each answer carries all watched keys, so a shorter wait
+	// costs bytes on every entry.
+	watchWait = 55 * time.Second
+	// watchWaitShare is the divisor of the expulsion delay that gives the wait while a lease is missing: the expulsion
+	// needs successive snapshots without the lease.
+	watchWaitShare = 2
+	// watchMargin is the divisor of the wait that gives the time by which an answer may be late. The published protocol
+	// adds up to a sixteenth of the wait.
+	watchMargin = 8
 	// storeTimeout bounds every other call.
 	storeTimeout = 3 * time.Second
 	// storeRetryDelay is the delay after a call that failed.
@@ -33,33 +40,50 @@
 	leaseRenewals = 3
 )
 
-// snapshot is what one read of the store showed.
+// snapshot is what one read of the watched keys showed.
 type snapshot struct {
-	list      *wire.EntryList
-	leases    map[string]uint64 // entry id to incarnation
-	documents []platform.Entry
+	list   *wire.EntryList
+	leases map[string]uint64 // entry id to incarnation
+	index  document.Index
+	// wentBack is set when the store shows an earlier position than before: it was restored from older data.
+	wentBack bool
 }
 
-// watchStore follows the store and hands every snapshot to the control goroutine.
+func newSnapshot() *snapshot { return &snapshot{leases: make(map[string]uint64)} }
+
+// holds reports whether the lease of this run of a member is there.
+func (s *snapshot) holds(m wire.Member) bool { return s.leases[m.ID] == m.Incarnation }
+
+// watchStore follows the watched keys and hands every snapshot to the control goroutine.
 func (e *Entry) watchStore(ctx context.Context) error {
 	var index uint64
+	wait := watchWait
 	for ctx.Err() == nil {
-		waiting, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
-		seen, err := e.options.Store.Watch(waiting, platform.Prefix, index, watchWait)
-		cancel()
+		seen, err := e.watchOnce(ctx, index, wait)
+		e.storeAnswered(err)
 		if err != nil {
-			e.storeAnswered(err)
 			e.sleep(ctx, storeRetryDelay)
 			continue
 		}
-		e.storeAnswered(nil)
+		s := e.parseSnapshot(seen.Entries)
+		s.wentBack = seen.Index < index
 		index = seen.Index
-		s := parseSnapshot(seen.Entries)
-		e.post(func(c *control) { c.storeSeen(s) })
+		next := make(chan time.Duration, 1)
+		e.post(func(c *control) { next <- c.storeSeen(s) })
+		select {
+		case wait = <-next:
+		case <-e.stopped:
+		}
 	}
 	return ctx.Err()
 }
 
+func (e *Entry) watchOnce(ctx context.Context, index uint64, wait time.Duration) (platform.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+wait/watchMargin+storeTimeout)
+	defer cancel()
+	return e.options.Store.Watch(ctx, platform.WatchPrefix, index, wait)
+}
+
 // storeAnswered logs when the store goes away and when it comes back.
 func (e *Entry) storeAnswered(err error) {
 	down := err != nil
@@ -73,70 +97,32 @@
 	}
 }
 
-func parseSnapshot(entries []platform.Entry) *snapshot {
-	s := &snapshot{leases: make(map[string]uint64)}
+// parseSnapshot decodes the watched keys. A list or an index that cannot be decoded counts as missing. The index is then
+// replaced; a list is left to the operators, because its version decides who may start work.
+func (e *Entry) parseSnapshot(entries []platform.Entry) *snapshot {
+	s := newSnapshot()
 	for _, entry := range entries {
+		var err error
 		switch {
 		case entry.Key == listKey:
 			list := new(wire.EntryList)
-			if json.Unmarshal(entry.Value, list) == nil {
+			if err = json.Unmarshal(entry.Value, list); err == nil {
 				s.list = list
 			}
+		case entry.Key == document.IndexKey:
+			s.index, err = document.DecodeIndex(entry.Value)
 		case strings.HasPrefix(entry.Key, leasePrefix):
 			var incarnation uint64
-			if json.Unmarshal(entry.Value, &incarnation) == nil {
+			if err = json.Unmarshal(entry.Value, &incarnation); err == nil {
 				s.leases[strings.TrimPrefix(entry.Key, leasePrefix)] = incarnation
 			}
-		case strings.HasPrefix(entry.Key, documentPrefix):
-			s.documents = append(s.documents, entry)
 		}
-	}
-	return s
-}
-
-// holdLease keeps the entry's lease in the store. The end of the lease stops nothing by itself: the entry takes a new
-// one as soon as the store answers.
-func (e *Entry) holdLease(ctx context.Context) error {
-	var lease platform.LeaseID
-	for ctx.Err() == nil {
-		var err error
-		if lease == "" {
-			lease, err = e.takeLease(ctx)
-		} else {
-			err = e.withStore(ctx, func(ctx context.Context) error { return e.options.Store.RenewLease(ctx, lease) })
-		}
-		delay := e.options.LeaseTTL / leaseRenewals
 		if err != nil {
-			delay = min(delay, storeRetryDelay)
-		}
-		if errors.Is(err, platform.ErrNotFound) {
-			lease = ""
+			e.log.WithField("key", entry.Key).WithField("cause", eris.ToString(err, false)).
+				Error("store: a key cannot be decoded")
 		}
-		e.sleep(ctx, delay)
 	}
-	if lease != "" {
-		_ = e.withStore(context.WithoutCancel(ctx), func(ctx context.Context) error {
-			return e.options.Store.ReleaseLease(ctx, lease)
-		})
-	}
-	return ctx.Err()
-}
-
-func (e *Entry) takeLease(ctx context.Context) (lease platform.LeaseID, err error) {
-	err = e.withStore(ctx, func(ctx context.Context) error {
-		lease, err = e.options.Store.CreateLease(ctx, e.options.LeaseTTL)
-		return err
-	})
-	if err != nil {
-		return "", err
-	}
-	value, err := json.Marshal(e.incarnation)
-	if err != nil {
-		return "", eris.Wrap(err, "encode incarnation")
-	}
-	return lease, e.withStore(ctx, func(ctx context.Context) error {
-		return e.options.Store.BindKey(ctx, lease, leasePrefix+e.options.ID, value)
-	})
+	return s
 }
 
 func (e *Entry) withStore(ctx context.Context, call func(context.Context) error) error {
--- a/internal/platform/consul.go
+++ b/internal/platform/consul.go
@@ -25,6 +25,11 @@
 	jitterShare = 16
 	// idleTimeout closes unused connections before a middlebox forgets them.
 	idleTimeout = 30 * time.Second
+	// keepAliveIdle, keepAliveInterval and keepAliveCount let the system close a connection that went silent within 6 s.
+	// A waiting watch has no other sign of that before its wait of about a minute is over.
+	keepAliveIdle     = 3 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
 	// maxIdle is the number of connections kept open: one for the watch and a few for calls.
 	maxIdle = 4
 )
@@ -66,8 +71,11 @@
 // newClient returns a client that follows no redirect and uses HTTP/1.1 only. With one call per connection, giving up
 // on a call closes its connection, so a connection that went silent is never used again.
 func newClient(timeout time.Duration) *http.Client {
+	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		DialContext:         dialer.DialContext,
 		TLSHandshakeTimeout: timeout,
 		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
 		MaxIdleConnsPerHost: maxIdle,
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -9,8 +9,14 @@
 	"time"
 )
 
-// Prefix begins every key of the program. One watch on it sees documents, list of entries and leases.
-const Prefix = "coltsfootspur/"
+// Prefixes of the keys of the program.
+const (
+	// Prefix begins every key.
+	Prefix = "coltsfootspur/"
+	// WatchPrefix begins the small keys that entries watch: list of entries, leases and index of the documents. A watch
+	// returns every key below its prefix at each change, so nothing large belongs there.
+	WatchPrefix = Prefix + "watch/"
+)
 
 // MaxValue is the largest value in bytes that the store accepts.
 const MaxValue = 1_000_000
