Bind a lease key per incarnation and bind a missing one again

A lease can hold its key for up to twice its time to live after its holder died. A restarted entry could not bind the shared key of its id in that time and was a member without a lease. The key now names the incarnation, too. Releasing the former lease at the start was ruled out: its id is lost with the former run.

After a failed bind the lease was kept, and from then on only renewed, so its key stayed missing until the entry was restarted: one dropped write at the start was enough.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -49,6 +49,8 @@
 	seenAt time.Time
 	// leaseGoneSince has, by incarnation, when the store first showed no lease of a member.
 	leaseGoneSince map[uint64]time.Time
+	// leaseMissing tells the holder of the lease that the store does not show it.
+	leaseMissing chan struct{}
 	// changing is set while a change of the list is under way.
 	changing bool
 	records  records
@@ -65,8 +67,8 @@
 		agents: make(map[string]*agentSession), peers: make(map[string]*peer),
 		jobs: make(map[uint64]*job), running: make(map[wire.KeyHash]*job), tableJobs: make(map[table.Job]*job),
 		forwards: make(map[uint64]*forward), waiting: make(map[*waiting]struct{}),
-		leaseGoneSince: make(map[uint64]time.Time),
-		seen:           newSnapshot(), records: records{interval: fullCheckInterval},
+		leaseGoneSince: make(map[uint64]time.Time), leaseMissing: make(chan struct{}, 1),
+		seen: newSnapshot(), records: records{interval: fullCheckInterval},
 	}
 	c.table = table.New(table.Config{
 		Retention: e.options.Retention, MaxEntries: e.options.TableEntries, MaxAnswerBytes: e.options.TableBytes,
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -143,6 +143,7 @@
 	for _, m := range c.list.Members {
 		if m.ID == c.options.ID || s.holds(m) {
 			delete(c.leaseGoneSince, m.Incarnation)
+			c.noticeLease(s, m)
 			continue
 		}
 		since, known := c.leaseGoneSince[m.Incarnation]
@@ -156,6 +157,17 @@
 	}
 }
 
+// noticeLease tells the holder of this entry's own lease that the store does not show it.
+func (c *control) noticeLease(s *snapshot, m wire.Member) {
+	if m.Incarnation != c.incarnation || s.holds(m) {
+		return
+	}
+	select {
+	case c.leaseMissing <- struct{}{}:
+	default:
+	}
+}
+
 // linkGone tells whether there was no link to this run of the member for the expulsion delay.
 func (c *control) linkGone(m wire.Member) bool {
 	p := c.peers[m.ID]
--- a/internal/entry/storesync.go
+++ b/internal/entry/storesync.go
@@ -43,16 +43,16 @@
 // snapshot is what one read of the watched keys showed.
 type snapshot struct {
 	list   *wire.EntryList
-	leases map[string]uint64 // entry id to incarnation
+	leases map[string]bool // by leaseKey
 	index  document.Index
 	// wentBack is set when the store shows an earlier position than before: it was restored from older data.
 	wentBack bool
 }
 
-func newSnapshot() *snapshot { return &snapshot{leases: make(map[string]uint64)} }
+func newSnapshot() *snapshot { return &snapshot{leases: make(map[string]bool)} }
 
 // holds reports whether the lease of this run of a member is there.
-func (s *snapshot) holds(m wire.Member) bool { return s.leases[m.ID] == m.Incarnation }
+func (s *snapshot) holds(m wire.Member) bool { return s.leases[leaseKey(m)] }
 
 // watchStore follows the watched keys and hands every snapshot to the control goroutine.
 func (e *Entry) watchStore(ctx context.Context) error {
@@ -112,10 +112,7 @@
 		case entry.Key == document.IndexKey:
 			s.index, err = document.DecodeIndex(entry.Value)
 		case strings.HasPrefix(entry.Key, leasePrefix):
-			var incarnation uint64
-			if err = json.Unmarshal(entry.Value, &incarnation); err == nil {
-				s.leases[strings.TrimPrefix(entry.Key, leasePrefix)] = incarnation
-			}
+			s.leases[entry.Key] = true
 		}
 		if err != nil {
 			e.log.WithField("key", entry.Key).WithField("cause", eris.ToString(err, false)).
