--- a/internal/dispatch/arrivals.go
+++ b/internal/dispatch/arrivals.go
@@ -15,12 +15,12 @@
 	minDrainShare = 0.1
 )
 
-// arrivals measures the rate of accepted tasks by their horizon, the time between submission and key. Tasks with a
-// shorter horizon that arrive later pass those that wait, so a wide or long job gets only a part of the drain.
+// arrivals measures the rate of accepted work by its horizon, the time between submission and key. Work with a shorter
+// horizon that arrives later passes what waits, so a wide or long job gets only a part of the drain.
 type arrivals struct {
-	counts [1 + horizonBuckets]int     // in this window; index 0 is urgent work
-	rates  [1 + horizonBuckets]float64 // tasks per second
-	since  instant
+	sums  [1 + horizonBuckets]instant // work in this window; index 0 is urgent work
+	rates [1 + horizonBuckets]float64 // work per time
+	since instant
 }
 
 func horizonBucket(j *job) int {
@@ -30,20 +30,20 @@
 	return 1 + min(bits.Len64(uint64((j.key-j.submitted)/minHorizon)), horizonBuckets-1)
 }
 
-// add counts the tasks of an accepted job.
+// add adds the work of an accepted job.
 func (a *arrivals) add(j *job) {
-	a.counts[horizonBucket(j)] += len(j.tasks)
+	a.sums[horizonBucket(j)] += j.work * instant(len(j.tasks))
 	span := j.submitted - a.since
 	if span < arrivalWindow {
 		return
 	}
-	for i, n := range a.counts {
-		a.rates[i] += arrivalWeight * (float64(n)/span.seconds() - a.rates[i])
+	for i, work := range a.sums {
+		a.rates[i] += arrivalWeight * (float64(work)/float64(span) - a.rates[i])
 	}
-	a.counts, a.since = [1 + horizonBuckets]int{}, j.submitted
+	a.sums, a.since = [1 + horizonBuckets]instant{}, j.submitted
 }
 
-// passing returns the rate of tasks that pass a job: urgent work, and work with at most half its horizon.
+// passing returns the rate of work that passes a job: urgent work, and work with at most half its horizon.
 func (a *arrivals) passing(j *job) float64 {
 	sum := 0.0
 	for i := range horizonBucket(j) {
--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -11,34 +11,34 @@
 	bucketsBack = 512
 )
 
-// backlog counts the waiting tasks by their key, to find how many are served before a given key. It is a binary indexed
-// tree over a ring of buckets: adding and counting take O(log bucketCount).
+// backlog sums the expected service times of the waiting tasks by their key, to find how much work is served before a
+// given key. It is a binary indexed tree over a ring of buckets: adding and summing take O(log bucketCount).
 type backlog struct {
-	tree  [bucketCount + 1]int32
-	total int
+	tree  [bucketCount + 1]instant
+	total instant
 }
 
 func bucketOf(key instant) int { return int(uint64(key/bucketSpan) % bucketCount) }
 
-// add counts n tasks with the key; n is negative when they leave.
-func (b *backlog) add(key instant, n int) {
-	b.total += n
+// add adds work with the key; the work is negative when a task leaves.
+func (b *backlog) add(key, work instant) {
+	b.total += work
 	for i := bucketOf(key) + 1; i <= bucketCount; i += i & -i {
-		b.tree[i] += int32(n)
+		b.tree[i] += work
 	}
 }
 
-// prefix counts the tasks in the first n buckets.
-func (b *backlog) prefix(n int) int {
-	sum := 0
+// prefix sums the work in the first n buckets.
+func (b *backlog) prefix(n int) instant {
+	sum := instant(0)
 	for ; n > 0; n -= n & -n {
-		sum += int(b.tree[n])
+		sum += b.tree[n]
 	}
 	return sum
 }
 
-// before counts the tasks whose key is not later.
-func (b *backlog) before(now, key instant) int {
+// before sums the work whose key is not later.
+func (b *backlog) before(now, key instant) instant {
 	if b.total == 0 {
 		return 0
 	}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -301,16 +301,11 @@
 	if cost <= 2*usual || now-t.since >= instant(patience*cost) {
 		return true
 	}
-	rate := p.rate(e, now)
-	if rate <= 0 {
+	ahead := max(t.job.work*instant(t.job.waiting), instant(queueShare*float64(p.backlogOf(t.job.class))))
+	if p.rate(e, now) <= 0 {
 		return true
 	}
-	waiting := p.backlog[classUrgent].total
-	if t.job.class == classNormal {
-		waiting += p.backlog[classNormal].total
-	}
-	ahead := max(float64(t.job.waiting), queueShare*float64(waiting))
-	alternative := ahead/rate*float64(time.Second) + usual
+	alternative := float64(p.timeFor(e, now, ahead)) + usual
 	return cost <= alternative
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -64,6 +64,7 @@
 	idempotent          bool
 	submitted, deadline instant
 	key                 instant // position in the queue
+	work                instant // expected service time of one task at the submission
 	tasks               []task
 	open, waiting       int
 	sent                bool // an attempt was sent
@@ -240,7 +241,7 @@
 	deadline := e.at(j.Deadline)
 	jb := &job{
 		id: j.ID, kind: k, class: class, idempotent: j.Idempotent, submitted: at, deadline: deadline,
-		tasks: make([]task, n), open: n,
+		tasks: make([]task, n), open: n, work: k.mean,
 	}
 	jb.key = e.orderKey(jb)
 	if r := e.admit(at, jb); r != nil {
@@ -318,7 +319,7 @@
 	t.state, t.parked, t.entry = stateWaiting, false, e.sequence
 	j.waiting++
 	j.kind.queues[j.class].push(queueItem{j.key, e.sequence, t})
-	j.kind.pool.backlog[j.class].add(j.key, 1)
+	j.kind.pool.backlog[j.class].add(j.key, j.work)
 	e.waiting[j.class]++
 }
 
@@ -342,7 +343,7 @@
 		return
 	}
 	j.kind.queues[j.class].drop()
-	j.kind.pool.backlog[j.class].add(j.key, -1)
+	j.kind.pool.backlog[j.class].add(j.key, -j.work)
 }
 
 // end gives a task its end.
--- a/internal/dispatch/next.go
+++ b/internal/dispatch/next.go
@@ -51,8 +51,8 @@
 	}
 	e.hedge(at)
 	for _, p := range e.poolList {
-		p.drain.observe(at, p.waiting() > 0)
-		p.queue.observe(at, p.wait(e, at))
+		p.drain.observe(at, p.backlogOf(classNormal) > 0)
+		p.queue.observe(at, p.timeFor(e, at, p.backlogOf(classNormal)))
 	}
 	e.recheck = at + recheckInterval
 	return e.assignments, e.refusals
@@ -107,8 +107,8 @@
 	switch why {
 	case chosen:
 		k.queues[class].pop()
-		k.pool.backlog[class].add(t.job.key, -1)
-		k.pool.drain.started++
+		k.pool.backlog[class].add(t.job.key, -t.job.work)
+		k.pool.drain.started += t.job.work
 		t.entry = 0
 		t.job.waiting--
 		e.waiting[class]--
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -1,7 +1,5 @@
 package dispatch
 
-import "time"
-
 // poolKey identifies the kinds that the same upstreams can serve. The name is set only while some upstream names its
 // kinds.
 type poolKey struct {
@@ -74,7 +72,7 @@
 		k.pool.inherit(former[i], now)
 	}
 	for _, j := range e.jobs {
-		j.kind.pool.backlog[j.class].add(j.key, j.queued())
+		j.kind.pool.backlog[j.class].add(j.key, j.work*instant(j.queued()))
 	}
 	for _, p := range e.poolList {
 		if len(p.ups) == 0 {
@@ -237,45 +235,3 @@
 		e.cursor++
 	}
 }
-
-// drain measures the rate at which tasks leave a queue while tasks wait, that is, the capacity that this entry gets.
-type drain struct {
-	since   instant // start of the current measurement, 0 when nothing waits
-	started int
-	rate    float64 // tasks per second
-	at      instant // time of the last measurement
-	// model is the rate computed from slots and learned times at modelAt, used when nothing was measured.
-	model   float64
-	modelAt instant
-}
-
-// Parameters of drain.
-const (
-	drainWindow = instant(100 * time.Millisecond)
-	// drainMemory is the time for which a measured rate is used.
-	drainMemory = instant(3 * time.Second)
-	drainWeight = 0.3
-)
-
-// observe is called at the end of each Next; waiting tells whether tasks still wait.
-func (d *drain) observe(now instant, waiting bool) {
-	if !waiting {
-		d.since, d.started = 0, 0
-		return
-	}
-	if d.since == 0 {
-		d.since, d.started = now, 0
-		return
-	}
-	span := now - d.since
-	if span < drainWindow {
-		return
-	}
-	sample := float64(d.started) / span.seconds()
-	if d.at == 0 || now-d.at > drainMemory {
-		d.rate = sample
-	} else {
-		d.rate += drainWeight * (sample - d.rate)
-	}
-	d.at, d.since, d.started = now, now, 0
-}
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -16,7 +16,7 @@
 	Retries, Hedges        uint64
 	Overloaded, NoUpstream uint64 // tasks or, at submission, jobs
 	DeadlineMissed         uint64
-	DrainRate              float64 // tasks per second that leave the queue while tasks wait; 0 if not known
+	DrainRate              float64 // slots that this entry got while tasks waited; 0 if not known
 	ExpectedWait           time.Duration
 	ByUpstream             []UpstreamStats `json:",omitempty"`
 }
