--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -238,6 +238,9 @@
 		class = classUrgent
 	}
 	n := int(j.Tasks)
+	if n == 0 {
+		return nil
+	}
 	deadline := e.at(j.Deadline)
 	jb := &job{
 		id: j.ID, kind: k, class: class, idempotent: j.Idempotent, submitted: at, deadline: deadline,
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -18,7 +18,9 @@
 package quota
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -193,7 +195,8 @@
 func (q *Quotas) Usage(now time.Time) wire.QuotaUsage {
 	millis := uint32(max(now.Sub(q.reported).Milliseconds(), 1))
 	u := wire.QuotaUsage{IntervalMillis: millis}
-	for name, t := range q.teams {
+	for _, name := range slices.Sorted(maps.Keys(q.teams)) {
+		t := q.teams[name]
 		t.own.demand = smooth(t.own.demand, t.wanted, millis)
 		if t.wanted > 0 || t.own.running > 0 || t.admitted > 0 {
 			u.Teams = append(u.Teams, wire.TeamUsage{
