Rest after failures only under expected completion

The rest shared the field of the rest after refusals, so random choice and least connections were protected from failing upstreams as well and the comparison said nothing.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -56,7 +56,7 @@
 }
 
 func (c *expectedChooser) room(e *engine, u *upstream, now instant) (bool, bool) {
-	if u.barred(now) || u.restUntil > now || u.own() >= u.Slots+e.config.Queue {
+	if u.barred(now) || max(u.restUntil, u.failureRestUntil) > now || u.own() >= u.Slots+e.config.Queue {
 		return false, false
 	}
 	load := float64(u.own()) + u.otherLoad(now, e.memory())
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -177,7 +177,7 @@
 	if wasRemoved {
 		up.index = len(e.active)
 		e.active = append(e.active, up)
-		up.restUntil, up.rest, up.foreign, up.foreignLong = 0, 0, 0, 0
+		up.restUntil, up.failureRestUntil, up.rest, up.foreign, up.foreignLong = 0, 0, 0, 0, 0
 	} else {
 		e.leavePools(up, at)
 	}
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -202,7 +202,7 @@
 		u.failureRest = min(max(2*u.failureRest, failureRest), maxFailureRest)
 	}
 	u.failedAt = now
-	u.restUntil = max(u.restUntil, now+u.failureRest)
+	u.failureRestUntil = now + u.failureRest
 }
 
 // statsOf returns what was learned about a kind at the upstream.
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -53,13 +53,15 @@
 	speed                             estimate    // of the time relative to the kind's mean: mu is the logarithm of the factor
 	success                           success
 	restUntil                         instant // gets no work until then, after a refusal
-	rest                              instant // last rest, for the backoff
-	failureRest, failedAt             instant // last rest after a failure, and the time of that failure
-	removedAt                         instant
-	ejection                          ejection
-	generation                        uint64
-	idle, open                        bool // members of these sets of their pools
-	pools                             []membership
+	// failureRestUntil is the same after a failure of an untrusted upstream. The baselines ignore it.
+	failureRestUntil      instant
+	rest                  instant // last rest, for the backoff
+	failureRest, failedAt instant // last rest after a failure, and the time of that failure
+	removedAt             instant
+	ejection              ejection
+	generation            uint64
+	idle, open            bool // members of these sets of their pools
+	pools                 []membership
 }
 
 // membership is the place of an upstream in the sets of one pool; -1 for none.
