--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -314,7 +314,7 @@
 	fmt.Fprintf(w, "  curl -i -H 'Idempotency-Key: order-1' http://%s/v1/services/%s/jobs -d '{\"kind\":\"%s\",\"tasks\":[{\"body\":{\"work_ms\":50}},{\"body\":{\"work_ms\":80}}]}'\n",
 		first.CallerAddress(), service.Name, kind)
 	fmt.Fprintf(w, "  curl -H 'Authorization: Bearer %s' http://%s/dump\n", OperatorToken, first.AdminAddress())
-	fmt.Fprintf(w, "  coltsfootspur service get --store %s --service %s\n", c.Store.URL(), service.Name)
+	fmt.Fprintf(w, "  coltsfootspur service get %s --store %s\n", service.Name, c.Store.URL())
 }
 
 // Close stops all processes: the agents first, so that they deliver their results, then entries, upstreams and store.
