Make the home region of a service immutable

The home region decides which entry is the home of a key. While a changed one spreads, two entries with different revisions both take themselves for the home and could both run the job of a key. Agreeing on the revision for each job was ruled out, because it would put the store on the request path; a list of regions with versions would only move the problem.

The first revision now sets the region. The editor refuses a put that differs from the newest earlier revision with a body, also after a deletion, with an error of its own and the exit code of an invalid document. A registry that meets a changed region keeps the former one in force, applies the rest of the revision and reports it. One that sees the service for the first time takes the region of the oldest revision in the record, up to a gap in the revisions. A process that starts after the former revision has left the history, or that gets the document by push, cannot know it.

--- a/internal/command/service_output.go
+++ b/internal/command/service_output.go
@@ -64,6 +64,10 @@
 	if errors.As(err, &invalid) {
 		e.Problems = invalid.Problems
 	}
+	var region *document.HomeRegionError
+	if errors.As(err, &region) {
+		e.Problems = []document.Problem{region.Problem()}
+	}
 	o.result(map[string]jsonError{"error": e}, nil)
 	return class.exit
 }
--- a/internal/command/service_test.go
+++ b/internal/command/service_test.go
@@ -84,6 +84,9 @@
 		s.Expect(s.errorCode()).To(gomega.Equal("unreachable"))
 	}
 	s.Expect(classify(eris.Wrap(document.ErrNotIndexed, "bench"))).To(gomega.Equal(failure{8, "not_indexed"}))
+	s.Expect(s.server.SetFaults(standin.Faults{})).To(gomega.Succeed())
+	s.Expect(s.run("put", s.file(testDocument+"home_region: north\n"), "--expect-revision", "1", "--json")).To(gomega.Equal(4))
+	s.Expect(s.out.String()).To(gomega.ContainSubstring(`"problems":[{"line":0,"column":0,"field":"home_region"`))
 	invalid := s.file("service: bench\nslots: x\n")
 	for _, args := range [][]string{{"validate", invalid}, {"put", invalid, "--expect-revision", "1"}} {
 		s.Expect(s.run(append(args, "--json")...)).To(gomega.Equal(4))
--- a/internal/document/editor.go
+++ b/internal/document/editor.go
@@ -70,23 +70,26 @@
 	return append([]Past{record.past()}, record.History...), nil
 }
 
-// Put checks a document and writes it as the revision after the expected one. Errors: ErrInvalid, ErrConflict,
+// Put checks a document and writes it as the revision after the expected one. Errors: ErrInvalid, ErrHomeRegion, ErrConflict,
 // ErrUnreachable and ErrRefused (all without effect), ErrUnclear, and ErrNotIndexed, which comes with the document. The
 // context limits how long an answer that did not come is looked for.
 func (e *Editor) Put(ctx context.Context, edit Edit) (Document, error) {
-	if _, err := parseFor(Document{Service: edit.Service, Body: string(edit.Body)}); err != nil {
+	service, err := parseFor(Document{Service: edit.Service, Body: string(edit.Body)})
+	if err != nil {
 		return Document{}, err
 	}
-	return e.write(ctx, edit, false)
+	return e.write(ctx, edit, service)
 }
 
 // Delete writes a revision that removes the service. Errors as of Put, and ErrNotFound when there is no document.
 func (e *Editor) Delete(ctx context.Context, edit Edit) (Document, error) {
 	edit.Body = nil
-	return e.write(ctx, edit, true)
+	return e.write(ctx, edit, nil)
 }
 
-func (e *Editor) write(ctx context.Context, edit Edit, remove bool) (Document, error) {
+// write writes the next revision. Service is the parsed body, or nil to delete the service.
+func (e *Editor) write(ctx context.Context, edit Edit, service *Service) (Document, error) {
+	remove := service == nil
 	if edit.Author == "" || len(edit.Author) > maxAuthor {
 		return Document{}, &InvalidError{Problems: []Problem{{Field: "author", Message: "is missing or too long", Allowed: fmt.Sprintf("1 to %d bytes", maxAuthor)}}}
 	}
@@ -100,6 +103,11 @@
 	if record.Revision != edit.Expected {
 		return Document{}, &ConflictError{Service: edit.Service, Expected: edit.Expected, Current: record.Document(edit.Service)}
 	}
+	if !remove {
+		if err := record.checkRegion(service); err != nil {
+			return Document{}, err
+		}
+	}
 	next := Document{
 		Service: edit.Service, Revision: record.Revision + 1, EditID: e.newID(), Author: edit.Author,
 		At: e.clock.Now().UTC().Truncate(time.Microsecond), Deleted: remove, Body: string(edit.Body),
--- a/internal/document/fields.go
+++ b/internal/document/fields.go
@@ -49,7 +49,7 @@
 	{name: "upstreams", meaning: "upstreams that may serve the service: those listed by id or by data centre", note: "every upstream that announces the service", value: object(upstreamFields, func(s *Service) *Upstreams { return &s.Upstreams })},
 	{name: "slots", unit: "tasks", fallback: "0", note: "what the agent announces", meaning: "tasks at a time on each upstream, at most what its agent announces", value: integer(0, maxSlots, func(s *Service) *int { return &s.Slots })},
 	{name: "connections", unit: "connections", fallback: "64", meaning: "largest number of connections from an agent to its upstream", value: integer(1, maxConnections, func(s *Service) *int { return &s.Connections })},
-	{name: "home_region", note: "every region", meaning: "region whose entries decide about jobs with an idempotency key", value: text(placeRule, func(s *Service) *string { return &s.HomeRegion })},
+	{name: "home_region", note: "every region", meaning: "region whose entries decide about jobs with an idempotency key; the first revision sets it for good", value: text(placeRule, func(s *Service) *string { return &s.HomeRegion })},
 	{name: "quota", note: "off", meaning: "optional guard: limit for the callers of the team", value: optional(quotaFields, func(s *Service) **Quota { return &s.Quota })},
 	{name: "retries", note: "off", meaning: "optional guard: further starts of idempotent tasks whose attempt is over without an answer", value: optional(retryFields, func(s *Service) **Retries { return &s.Retries })},
 	{name: "ejection", note: "off", meaning: "optional guard: no work for upstreams that fail far more often than their peers", value: optional(ejectionFields, func(s *Service) **Ejection { return &s.Ejection })},
--- a/internal/document/registry.go
+++ b/internal/document/registry.go
@@ -19,15 +19,19 @@
 	document Document
 	// inForce is the newest revision that this version of the program understands; nil for a deleted service.
 	inForce *Service
+	// region is the home region of the service, which stays the same for good, also after a deletion. It is nil as long
+	// as no body was seen.
+	region *string
 }
 
 // Change is one newly applied revision.
 type Change struct {
 	Document Document
-	// Service is what is in force now; nil when the service is deleted. If Problem is set, it is the former one.
+	// Service is what is in force now; nil when the service is deleted.
 	Service *Service
 	// Problem is set when the body is invalid here, for example because a newer version of the program wrote it. The
-	// document is still kept and passed on.
+	// former revision then stays in force. It is a *HomeRegionError when the body changes the home region. Then the new
+	// revision is in force with the former home region. The document is still kept and passed on.
 	Problem error
 }
 
@@ -36,22 +40,36 @@
 
 // Apply takes a revision if it is newer than the held one and reports whether it was.
 func (r *Registry) Apply(d Document) (Change, bool) {
+	return r.apply(d, func() (string, bool) { return regionOf(d.Body) })
+}
+
+// apply takes a revision. FirstRegion tells the home region of a service of which no body was seen before.
+func (r *Registry) apply(d Document, firstRegion func() (string, bool)) (Change, bool) {
 	before, known := r.held[d.Service]
 	if known && !d.newerThan(before.document) {
 		return Change{}, false
 	}
+	region := before.region
+	if region == nil {
+		if first, set := firstRegion(); set {
+			region = &first
+		}
+	}
 	change := Change{Document: d}
 	if !d.Deleted {
 		change.Service, change.Problem = parseFor(d)
 		if change.Problem != nil {
 			change.Service = before.inForce
+		} else if wanted := change.Service.HomeRegion; region != nil && wanted != *region {
+			change.Service.HomeRegion = *region
+			change.Problem = &HomeRegionError{Service: d.Service, InForce: *region, Wanted: wanted}
 		}
 	}
 	if known {
 		r.digest ^= hash(before.document)
 	}
 	r.digest ^= hash(d)
-	r.held[d.Service] = held{document: d, inForce: change.Service}
+	r.held[d.Service] = held{document: d, inForce: change.Service, region: region}
 	return change, true
 }
 
--- a/internal/document/repair.go
+++ b/internal/document/repair.go
@@ -29,7 +29,7 @@
 			problems = append(problems, eris.Wrap(err, entry.Key))
 			continue
 		}
-		if change, applied := r.Apply(record.Document(service)); applied {
+		if change, applied := r.apply(record.Document(service), record.firstRegion); applied {
 			changes = append(changes, change)
 		}
 	}
--- a/internal/entry/documents.go
+++ b/internal/entry/documents.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -32,7 +33,12 @@
 func (c *control) documentChanged(change document.Change) {
 	d := change.Document
 	c.entry.versions.documents.Store(c.documents.Digest())
-	if change.Problem != nil {
+	if errors.Is(change.Problem, document.ErrHomeRegion) {
+		c.log.WithField("service", d.Service).WithField("revision", d.Revision).
+			WithField("cause", eris.ToString(change.Problem, false)).
+			Error("document: revision changes the home region; the former region stays in force")
+		c.applyDocument(d.Service, d.Revision, change.Service)
+	} else if change.Problem != nil {
 		c.log.WithField("service", d.Service).WithField("revision", d.Revision).
 			WithField("cause", eris.ToString(change.Problem, false)).
 			Error("document: revision is not understood; the former one stays in force")
