Follow the default of short_slots and test the operator endpoints

A document without short_slots keeps a quarter of the slots for short work, at least one of two or more; the agent kept none, so that long tasks could hold every slot although the dispatch policy counted on the rest.

An agent no longer pulls documents when a link comes up, since an entry sends what is newer than the revisions in Hello by itself. Two configured addresses of one entry no longer replace each other's links for ever.

--- /dev/null
+++ b/internal/agent/admin_test.go
@@ -0,0 +1,77 @@
+package agent_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/agent"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/upstream"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+func get(t testing.TB, address, path string) (status int, body []byte) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer operator")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err = io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, body
+}
+
+// Guards against operators who see nothing of what an agent does, and against an agent that calls itself ready while its
+// upstream is down.
+func TestOperatorEndpointsShowTheAgent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	u := newUpstream(t, upstream.Faults{})
+	e := newTestEntry(t, "e1")
+	a := runAgent(t, u.URL(), []*testEntry{e}, func(o *agent.Options) {
+		o.AdminAddress, o.AdminToken = "127.0.0.1:0", "operator"
+	})
+	ready := func() int {
+		status, _ := get(t, a.AdminAddress(), "/readyz")
+		return status
+	}
+	g.Eventually(ready, 5*time.Second).Should(gomega.Equal(http.StatusOK))
+	e.send(e.start(1, work(200)))
+	var dump agent.Dump
+	g.Eventually(func() int {
+		_, body := get(t, a.AdminAddress(), "/dump")
+		g.Expect(json.Unmarshal(body, &dump)).To(gomega.Succeed())
+		return len(dump.Attempts)
+	}, 5*time.Second).Should(gomega.Equal(1))
+	g.Expect(dump.Attempts[0].Attempt).To(gomega.BeEquivalentTo(1))
+	g.Expect(dump.Homes).To(gomega.HaveLen(1))
+	e.waitResult(1)
+	g.Expect(u.SetFaults(upstream.Faults{Refuse: true})).To(gomega.Succeed())
+	e.send(e.start(2))
+	g.Expect(e.waitResult(2).Reason).To(gomega.Equal(wire.RefusedDown))
+	g.Expect(ready()).To(gomega.Equal(http.StatusServiceUnavailable))
+	var vars struct {
+		Agent struct {
+			Starts       int            `json:"starts"`
+			Refusals     map[string]int `json:"refusals"`
+			Results      map[string]int `json:"results"`
+			ControlBytes int            `json:"control_bytes_sent"`
+		} `json:"agent"`
+	}
+	_, body := get(t, a.AdminAddress(), "/debug/vars")
+	g.Expect(json.Unmarshal(body, &vars)).To(gomega.Succeed())
+	g.Expect(vars.Agent.Starts).To(gomega.Equal(2))
+	g.Expect(vars.Agent.Refusals).To(gomega.Equal(map[string]int{"down": 1}))
+	g.Expect(vars.Agent.Results).To(gomega.Equal(map[string]int{"done": 1, "refused": 1}))
+}
--- a/internal/agent/documents.go
+++ b/internal/agent/documents.go
@@ -28,16 +28,6 @@
 
 func (d documents) revisions() map[string]uint64 { return maps.Clone(d) }
 
-// behind reports whether the peer has a newer document of a service that the agent serves.
-func (d documents) behind(peer map[string]uint64) bool {
-	for service, revision := range d {
-		if peer[service] > revision {
-			return true
-		}
-	}
-	return false
-}
-
 // digest is a hash of the revisions, in the order of the services.
 func (d documents) digest() uint64 {
 	h := fnv.New64a()
@@ -74,7 +64,7 @@
 		return
 	}
 	entry := c.options.Log.WithField("service", push.Service).WithField("revision", push.Revision)
-	limits, err := parseLimits(push)
+	limits, err := parseLimits(push, min(c.options.Slots, c.options.Connections))
 	if err != nil {
 		entry.WithError(err).Error("agent: document cannot be read, keeping the former one")
 		return
@@ -88,13 +78,16 @@
 	})
 }
 
-// parseLimits reads the fields of a document that concern an agent. A call holds one connection, so the lower one of
-// slots and connections counts.
-func parseLimits(push *wire.DocumentPush) (slots.Limits, error) {
+// shortSlotsDivisor makes a quarter of the slots the default for short work.
+const shortSlotsDivisor = 4
+
+// parseLimits reads the fields of a document that concern an agent. A call holds one connection, so the lowest of slots,
+// connections and the ceiling of the agent counts. At least one slot is left for long work.
+func parseLimits(push *wire.DocumentPush, ceiling int) (slots.Limits, error) {
 	var body struct {
-		Slots       int `yaml:"slots"`
-		Connections int `yaml:"connections"`
-		ShortSlots  int `yaml:"short_slots"`
+		Slots       int  `yaml:"slots"`
+		Connections int  `yaml:"connections"`
+		ShortSlots  *int `yaml:"short_slots"`
 	}
 	if push.Deleted {
 		return slots.Limits{}, nil
@@ -102,10 +95,19 @@
 	if err := yaml.Unmarshal(push.Body, &body); err != nil {
 		return slots.Limits{}, err
 	}
-	limits := slots.Limits{Slots: body.Slots, ShortSlots: body.ShortSlots}
-	if body.Connections > 0 && (limits.Slots == 0 || body.Connections < limits.Slots) {
-		limits.Slots = body.Connections
+	limits := slots.Limits{Slots: ceiling}
+	for _, stated := range []int{body.Slots, body.Connections} {
+		if stated > 0 {
+			limits.Slots = min(limits.Slots, stated)
+		}
+	}
+	limits.ShortSlots = limits.Slots / shortSlotsDivisor
+	if body.ShortSlots != nil {
+		limits.ShortSlots = *body.ShortSlots
+	} else if limits.Slots > 1 {
+		limits.ShortSlots = max(limits.ShortSlots, 1)
 	}
+	limits.ShortSlots = min(limits.ShortSlots, limits.Slots-1)
 	return limits, nil
 }
 
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -53,9 +53,6 @@
 	if e.welcome.List != nil {
 		c.adopt(e.welcome.List)
 	}
-	if c.documents.behind(e.welcome.DocumentRevisions) {
-		c.pullDocuments(e.link)
-	}
 	if c.leaving != nil {
 		_ = e.link.Send(&wire.Leaving{})
 	}
--- a/internal/agent/links_test.go
+++ b/internal/agent/links_test.go
@@ -168,6 +168,8 @@
 	e1.list = members(1, e1, e2, e3)
 	alias := strings.Replace(e1.address, "127.0.0.1", "localhost", 1)
 	runAgent(t, "http://127.0.0.1:1", nil, func(o *agent.Options) { o.Entries = []string{alias} })
+	g.Eventually(e1.open, 5*time.Second).Should(gomega.HaveLen(2))
+	e1.open()[0].Close(link.ErrClosed) // the link to the configured address; the other one stays
 	e2.waitLinked()
 	e3.waitLinked()
 	list := members(2, e1)
@@ -183,6 +185,7 @@
 	g.Eventually(e3.hello, 8*time.Second).Should(gomega.HaveLen(2))
 	g.Expect(e3.hello()[1].ListVersion).To(gomega.BeEquivalentTo(2))
 	g.Consistently(e2.hello, 300*time.Millisecond).Should(gomega.HaveLen(1))
+	g.Expect(e1.hello()).To(gomega.HaveLen(2), "one link to an entry with two addresses")
 }
 
 // Guards against tasks that run under an outdated document although the newer one is at hand, and against tasks that
--- a/internal/agent/targets.go
+++ b/internal/agent/targets.go
@@ -18,7 +18,7 @@
 }
 
 // targets keeps one supervised dialler for each entry: those of the list and those of the settings. A configured address
-// that turns out to be another address of a listed entry gets no dialler of its own.
+// that turns out to be another address of the same entry gets no dialler of its own.
 type targets struct {
 	control *control
 	byAddr  map[string]*target
@@ -86,9 +86,11 @@
 	}
 	for _, address := range t.control.options.Entries {
 		id := t.aliases[address]
-		if _, ok := wanted[address]; !ok && !listed[id] {
-			wanted[address] = id
+		if _, ok := wanted[address]; ok || listed[id] {
+			continue
 		}
+		wanted[address] = id
+		listed[id] = id != "" // two addresses of one entry would replace each other's links for ever
 	}
 	return wanted
 }
--- /dev/null
+++ b/internal/standin/upstream/upstream_test.go
@@ -0,0 +1,121 @@
+package upstream_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/upstream"
+)
+
+const task = "000102030405060708090a0b0c0d0e0f/7"
+
+func run(t testing.TB, factor float64) (s *upstream.Server, stop context.CancelFunc, ended chan error) {
+	t.Helper()
+	s, err := upstream.New(upstream.Options{Name: "u1", Address: "127.0.0.1:0", ControlAddress: "127.0.0.1:0", Factor: factor})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended = make(chan error, 1)
+	go func() { ended <- s.Serve(ctx) }()
+	t.Cleanup(stop)
+	return s, stop, ended
+}
+
+func post(ctx context.Context, s *upstream.Server, body string) (int, upstream.Answer, error) {
+	var answer upstream.Answer
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL()+"/run", strings.NewReader(body))
+	if err != nil {
+		return 0, answer, err
+	}
+	request.Header.Set(upstream.HeaderTask, task)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return response.StatusCode, answer, err
+	}
+	return response.StatusCode, answer, json.Unmarshal(raw, &answer)
+}
+
+// Guards against a stand-in that hides a double start or answers for another request, so that tests of the system pass
+// in vain.
+func TestCountsAndProvesWhatItRan(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, _, _ := run(t, 2)
+	began := time.Now()
+	for i := range 2 {
+		_, answer, err := post(context.Background(), s, `{"work_ms": 20, "answer_bytes": 10}`)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(answer.Task).To(gomega.Equal(task))
+		g.Expect(answer.BodyBytes).To(gomega.Equal(35))
+		g.Expect(answer.Padding).To(gomega.HaveLen(10))
+		g.Expect(answer.Starts).To(gomega.BeEquivalentTo(i + 1))
+	}
+	g.Expect(time.Since(began)).To(gomega.BeNumerically(">=", 80*time.Millisecond), "two tasks of 20 ms at factor 2")
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, _, err := post(ctx, s, `{"work_ms": 60000}`)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Eventually(func() uint64 { return s.Counters().Cancelled }, 5*time.Second).Should(gomega.BeEquivalentTo(1))
+	want := upstream.Counters{Starts: 3, DoubleStarts: 2, Answered: 2, Cancelled: 1, MaxRunning: 1}
+	g.Expect(s.Counters()).To(gomega.Equal(want))
+	g.Expect(s.Starts(task)).To(gomega.Equal(3))
+}
+
+// Guards against faults that are not in force, or that stay after they were cleared over the control address.
+func TestFaultsFollowTheControlAddress(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, _, _ := run(t, 1)
+	put := func(faults string) int {
+		request, err := http.NewRequest(http.MethodPut, s.ControlURL()+"/faults", bytes.NewBufferString(faults))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		response, err := http.DefaultClient.Do(request)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	call := func() (int, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		status, _, err := post(ctx, s, "")
+		return status, err
+	}
+	g.Expect(put(`{"fail": true}`)).To(gomega.Equal(http.StatusNoContent))
+	g.Expect(call()).To(gomega.Equal(http.StatusInternalServerError))
+	for _, fault := range []string{`{"hang": true}`, `{"reset": true}`, `{"refuse": true}`} {
+		g.Expect(put(fault)).To(gomega.Equal(http.StatusNoContent))
+		_, err := call()
+		g.Expect(err).To(gomega.HaveOccurred(), fault)
+		g.Expect(put(`{}`)).To(gomega.Equal(http.StatusNoContent))
+		g.Expect(call()).To(gomega.Equal(http.StatusOK), "after %s", fault)
+	}
+	g.Expect(put(`{"slow": 5000}`)).To(gomega.Equal(http.StatusBadRequest))
+	g.Expect(put(`{"unknown": 1}`)).To(gomega.Equal(http.StatusBadRequest))
+}
+
+// Guards against a graceful stop that cuts a request in progress.
+func TestStopFinishesWhatRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, stop, ended := run(t, 1)
+	answered := make(chan error, 1)
+	go func() {
+		_, _, err := post(context.Background(), s, `{"work_ms": 200}`)
+		answered <- err
+	}()
+	g.Eventually(func() int { return s.Counters().Running }, 5*time.Second, time.Millisecond).Should(gomega.Equal(1))
+	stop()
+	g.Expect(<-answered).To(gomega.Succeed())
+	g.Expect(<-ended).To(gomega.Succeed())
+}
