List the tasks that a stand-in upstream started

Upstreams in separate processes do not share a ledger, so a task that was started at two of them was not found. The control endpoint now lists how often each task began; the sum over all upstreams shows it. Sharing a ledger over the network was ruled out: it would add a call to each task.

--- a/internal/standin/upstream/control.go
+++ b/internal/standin/upstream/control.go
@@ -12,6 +12,7 @@
 // controlServer serves counters and faults on an address of its own, so that it is there while tasks are refused:
 //
 //	GET /counters   Counters as JSON
+//	GET /tasks      how often each task began, by its Coltsfootspur-Task header, as JSON
 //	GET /faults     Faults as JSON
 //	PUT /faults     replaces the faults; 204, or 400 with the cause
 type controlServer struct {
@@ -30,6 +31,7 @@
 	}
 	e := echo.New()
 	e.GET("/counters", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Counters()) })
+	e.GET("/tasks", func(c echo.Context) error { return c.JSON(http.StatusOK, s.tally.ledger.list()) })
 	e.GET("/faults", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Faults()) })
 	e.PUT("/faults", s.putFaults)
 	server := &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
--- a/internal/standin/upstream/ledger.go
+++ b/internal/standin/upstream/ledger.go
@@ -33,6 +33,11 @@
 	index uint16
 }
 
+// String returns the value of a task header.
+func (id taskID) String() string {
+	return hex.EncodeToString(id.key[:]) + "/" + strconv.Itoa(int(id.index))
+}
+
 // parseTask reads a Coltsfootspur-Task header, "<key in hex>/<task index>".
 func parseTask(header string) (id taskID, ok bool) {
 	key, index, _ := strings.Cut(header, "/")
@@ -76,6 +81,18 @@
 	return int(l.starts[id])
 }
 
+// list returns how often each task began, by the task header. Together with the lists of other servers it shows a task
+// that began on two of them.
+func (l *Ledger) list() map[string]uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make(map[string]uint32, len(l.starts))
+	for id, n := range l.starts {
+		list[id.String()] = n
+	}
+	return list
+}
+
 // tally counts what one server did. It is safe for concurrent use.
 type tally struct {
 	ledger   *Ledger
