Keep an entry from refusing falsely after a pause or at its start

Found by tests with separate processes:

It now vouches for not_run only while its lease, renewed without a break, or a recent answer of every active member excludes an expulsion; else the answer is unknown (recovering). A fixed limit for the length of a pause was ruled out, since an entry that is cut off is never paused. - An entry that had just started refused with no_service, because it did not know its documents yet. Requests now wait for them for up to 2 s, and the entry is not ready before it knows a list of entries. - Agents learnt of a change of the list from pings only, which a busy link never sends. They get each new list at once. - A task whose last attempt was refused counted as not_run even if an earlier attempt had started (retries, hedging). - Start carries the digest of the job, so that recovery can detect the reuse of a key.

--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -105,6 +105,7 @@
 		BudgetMillis: uint32(max(j.deadline.Sub(c.now).Milliseconds(), 1)),
 		Urgent:       j.kind.Urgent, Idempotent: j.kind.Idempotent,
 		Long: assignment.Long, Retry: assignment.Retry, DocumentRevision: j.service.revision,
+		Digest: j.spec.Digest,
 	}
 	if j.tableJob != 0 {
 		m.ListVersion = c.list.Version
@@ -153,6 +154,10 @@
 	if j.finished || verdict == dispatch.Again || verdict == dispatch.Open {
 		return
 	}
+	if answer.Outcome == wire.OutcomeNotRun && t.tried {
+		// This attempt did not start, but an earlier one of the same task did.
+		answer.Outcome = wire.OutcomeUnknown
+	}
 	if answer.Outcome != wire.OutcomeComplete {
 		c.failJob(j, failure{reason: failureReason(result), message: failureMessage(result)})
 	}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
+	"github.com/coltsfootspur/coltsfootspur/internal/platform"
 	"github.com/coltsfootspur/coltsfootspur/internal/quota"
 	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -42,7 +43,10 @@
 	forwards  map[uint64]*forward
 	waiting   map[*waiting]struct{}
 
-	lastJob, lastAttempt, lastRequest uint64
+	lastJob, lastAttempt, lastRequest, lastConfirmation uint64
+
+	// provenLease is the lease under which the store last showed this entry as a member.
+	provenLease platform.LeaseID
 
 	// leaseGoneSince has, by incarnation, when the store first showed no lease of a member.
 	leaseGoneSince map[uint64]time.Time
@@ -67,6 +71,7 @@
 		Retention: e.options.Retention, MaxEntries: e.options.TableEntries, MaxAnswerBytes: e.options.TableBytes,
 	}, c.self())
 	c.planQuotaReport()
+	c.planConfirmation()
 	return c
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,7 @@
 	stopped    chan struct{}
 	control    *control
 	linkStats  link.Stats
+	lease      heldLease
 	versions   versions
 	inProgress atomic.Int64
 	ready      atomic.Bool
@@ -110,7 +111,8 @@
 func (e *Entry) LinkAddress() string { return e.links.Addr().String() }
 
 // Ready reports whether the entry wants to get new requests from the balancer.
-func (e *Entry) Ready() bool { return e.ready.Load() }
+// It does not before it knows a list of entries, because it knows no documents then either.
+func (e *Entry) Ready() bool { return e.ready.Load() && e.versions.list.Load() > 0 }
 
 // Header and idle limits of the HTTP servers. They bound what a slow or idle client can hold.
 const (
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -147,7 +147,7 @@
 	answer := j.answer()
 	if j.tableJob != 0 {
 		delete(c.tableJobs, j.tableJob)
-		answer = c.table.Complete(c.now, j.tableJob, answer)
+		answer = c.vouch(c.table.Complete(c.now, j.tableJob, answer))
 		c.sendHandovers()
 	}
 	c.metrics.countAnswer(answer)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -63,6 +63,7 @@
 // storeSeen handles a snapshot of the store.
 func (c *control) storeSeen(s *snapshot) {
 	c.documentsSeen(s.documents)
+	c.noteOwnLease(s)
 	if s.list != nil && s.list.Version > c.list.Version {
 		c.adoptList(s.list)
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -16,8 +16,12 @@
 	incarnation uint64
 	link        *link.Link // nil while there is none
 	downSince   time.Time  // when link became nil
-	address     string     // that the dialler uses
-	stopDialler context.CancelFunc
+	// asked is the sequence of the last ping that confirms the link, sent at askedAt. confirmedAt is when the last one
+	// was sent that this run of the peer answered.
+	asked                uint64
+	askedAt, confirmedAt time.Time
+	address              string // that the dialler uses
+	stopDialler          context.CancelFunc
 }
 
 // peerOf returns the peer with the given id and creates it when it is new.
@@ -37,7 +41,10 @@
 	if p.link != nil {
 		p.link.Close(errReplaced)
 	}
-	p.link, p.incarnation = l, hello.Incarnation
+	if p.incarnation != hello.Incarnation {
+		p.confirmedAt = time.Time{}
+	}
+	p.link, p.incarnation, p.asked = l, hello.Incarnation, 0
 	if list != nil {
 		c.adoptList(list)
 	}
@@ -99,6 +106,9 @@
 	case *wire.QuotaUsage:
 		c.quotas.Report(c.now, l.Peer().Hello.ID, *m)
 	case *wire.Pong:
+		if p := c.peers[l.Peer().Hello.ID]; p != nil && p.link == l {
+			p.confirmed(m.Sequence)
+		}
 		c.comparePeer(l, m.ListVersion, m.DocumentDigest)
 	case *wire.Ping:
 		c.comparePeer(l, m.ListVersion, m.DocumentDigest)
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -69,13 +69,24 @@
 		Info("entry: list of entries changed")
 	c.updateDiallers()
 	c.updateQuotaPeers()
+	c.announceList()
+	c.rerouteForwards()
+	c.sendHandovers()
+}
+
+// announceList sends the list to every connected process. Agents need it at once: they dial a new entry and refuse the
+// starts of a removed one, and a link that carries work has no pings that would tell its agent about the version.
+func (c *control) announceList() {
 	for _, p := range c.peers {
 		if p.link != nil {
 			c.sendList(p.link)
 		}
 	}
-	c.rerouteForwards()
-	c.sendHandovers()
+	for _, s := range c.agents {
+		if s.link != nil {
+			c.sendList(s.link)
+		}
+	}
 }
 
 // memberOf returns the identity of the entry at the other end of a link.
--- a/internal/entry/storesync.go
+++ b/internal/entry/storesync.go
@@ -37,6 +37,7 @@
 type snapshot struct {
 	list      *wire.EntryList
 	leases    map[string]uint64 // entry id to incarnation
+	ownLease  platform.LeaseID  // under which the lease key of this entry is held
 	documents []platform.Entry
 }
 
@@ -54,7 +55,7 @@
 		}
 		e.storeAnswered(nil)
 		index = seen.Index
-		s := parseSnapshot(seen.Entries)
+		s := parseSnapshot(seen.Entries, e.options.ID)
 		e.post(func(c *control) { c.storeSeen(s) })
 	}
 	return ctx.Err()
@@ -73,7 +74,7 @@
 	}
 }
 
-func parseSnapshot(entries []platform.Entry) *snapshot {
+func parseSnapshot(entries []platform.Entry, self string) *snapshot {
 	s := &snapshot{leases: make(map[string]uint64)}
 	for _, entry := range entries {
 		switch {
@@ -85,7 +86,11 @@
 		case strings.HasPrefix(entry.Key, leasePrefix):
 			var incarnation uint64
 			if json.Unmarshal(entry.Value, &incarnation) == nil {
-				s.leases[strings.TrimPrefix(entry.Key, leasePrefix)] = incarnation
+				id := strings.TrimPrefix(entry.Key, leasePrefix)
+				s.leases[id] = incarnation
+				if id == self {
+					s.ownLease = entry.Lease
+				}
 			}
 		case strings.HasPrefix(entry.Key, documentPrefix):
 			s.documents = append(s.documents, entry)
@@ -100,11 +105,15 @@
 	var lease platform.LeaseID
 	for ctx.Err() == nil {
 		var err error
+		sent := e.options.Clock.Now()
 		if lease == "" {
 			lease, err = e.takeLease(ctx)
 		} else {
 			err = e.withStore(ctx, func(ctx context.Context) error { return e.options.Store.RenewLease(ctx, lease) })
 		}
+		if err == nil {
+			e.lease.renewed(lease, sent)
+		}
 		delay := e.options.LeaseTTL / leaseRenewals
 		if err != nil {
 			delay = min(delay, storeRetryDelay)
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -36,6 +36,10 @@
 func (c *control) submitted(s submission) {
 	if s.action == wire.ForwardSubmit {
 		service := c.services[s.job.Service]
+		if service == nil && c.isCold() {
+			c.timers.add(c.now.Add(coldRetryDelay), func(time.Time) { c.submitted(s) })
+			return
+		}
 		refusal := c.checkJob(service, &s.job)
 		if refusal != nil {
 			s.reply(refusal)
@@ -57,6 +61,14 @@
 	c.route(s)
 }
 
+// An entry that has just started knows no documents yet. Requests wait for them instead of being refused.
+const (
+	coldTime       = 2 * time.Second
+	coldRetryDelay = 20 * time.Millisecond
+)
+
+func (c *control) isCold() bool { return len(c.services) == 0 && c.now.Sub(c.startedAt) < coldTime }
+
 // checkJob completes a job from the document of its service and refuses what the document or the quota does not allow.
 func (c *control) checkJob(service *service, job *wire.Job) *wire.ForwardReply {
 	if service == nil {
@@ -163,7 +175,7 @@
 	case table.Missing:
 		s.reply(&wire.ForwardReply{Status: wire.ForwardNotFound})
 	default:
-		s.reply(&wire.ForwardReply{Status: wire.ForwardAnswered, Answer: d.Answer})
+		s.reply(&wire.ForwardReply{Status: wire.ForwardAnswered, Answer: c.vouch(d.Answer)})
 	}
 }
 
@@ -190,7 +202,7 @@
 		refusal = c.admit(&s.job)
 	}
 	if refusal != nil {
-		c.table.Complete(c.now, tableJob, refusal.Answer)
+		refusal.Answer = c.vouch(c.table.Complete(c.now, tableJob, refusal.Answer))
 		s.reply(refusal)
 		return
 	}
