--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
+	"github.com/coltsfootspur/coltsfootspur/internal/platform"
 	"github.com/coltsfootspur/coltsfootspur/internal/quota"
 	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -43,7 +44,10 @@
 	forwards  map[uint64]*forward
 	waiting   map[*waiting]struct{}
 
-	lastJob, lastAttempt, lastRequest uint64
+	lastJob, lastAttempt, lastRequest, lastConfirmation uint64
+
+	// provenLease is the lease under which the store last showed this entry as a member.
+	provenLease platform.LeaseID
 
 	// seen is the last snapshot of the watched keys, seenAt its time.
 	seen   *snapshot
@@ -75,6 +79,7 @@
 		Retention: e.options.Retention, MaxEntries: e.options.TableEntries, MaxAnswerBytes: e.options.TableBytes,
 	}, c.self())
 	c.planQuotaReport()
+	c.planConfirmation()
 	return c
 }
 
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -71,9 +71,13 @@
 }
 
 func (h *leaseHolder) renew(ctx context.Context) error {
+	sent := h.entry.options.Clock.Now()
 	err := h.entry.withStore(ctx, func(ctx context.Context) error {
 		return h.entry.options.Store.RenewLease(ctx, h.lease)
 	})
+	if err == nil {
+		h.entry.lease.renewed(h.lease, sent)
+	}
 	if errors.Is(err, platform.ErrNotFound) {
 		h.lease, h.bound = "", false
 	}
@@ -81,10 +85,15 @@
 }
 
 func (h *leaseHolder) create(ctx context.Context) error {
-	return h.entry.withStore(ctx, func(ctx context.Context) (err error) {
+	sent := h.entry.options.Clock.Now()
+	err := h.entry.withStore(ctx, func(ctx context.Context) (err error) {
 		h.lease, err = h.entry.options.Store.CreateLease(ctx, h.entry.options.LeaseTTL)
 		return err
 	})
+	if err == nil {
+		h.entry.lease.renewed(h.lease, sent)
+	}
+	return err
 }
 
 func (h *leaseHolder) bind(ctx context.Context) error {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -66,6 +66,7 @@
 		clear(c.leaseGoneSince)
 	}
 	c.seen, c.seenAt = s, c.now
+	c.noteOwnLease(s)
 	if s.list != nil && s.list.Version > c.list.Version {
 		c.adoptList(s.list)
 	}
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -69,13 +69,14 @@
 		Info("entry: list of entries changed")
 	c.updateDiallers()
 	c.updateQuotaPeers()
-	c.spreadList()
+	c.announceList()
 	c.rerouteForwards()
 	c.sendHandovers()
 }
 
-// spreadList sends the list to every entry and agent. An agent with an older list refuses the starts of a new member.
-func (c *control) spreadList() {
+// announceList sends the list to every connected process. Agents need it at once: they dial a new entry and refuse the
+// starts of a removed one, and a link that carries work has no pings that would tell its agent about the version.
+func (c *control) announceList() {
 	for _, p := range c.peers {
 		if p.link != nil {
 			c.sendList(p.link)
--- a/internal/entry/storesync.go
+++ b/internal/entry/storesync.go
@@ -43,16 +43,19 @@
 // snapshot is what one read of the watched keys showed.
 type snapshot struct {
 	list   *wire.EntryList
-	leases map[string]bool // by leaseKey
+	leases map[string]platform.LeaseID // by leaseKey
 	index  document.Index
 	// wentBack is set when the store shows an earlier position than before: it was restored from older data.
 	wentBack bool
 }
 
-func newSnapshot() *snapshot { return &snapshot{leases: make(map[string]bool)} }
+func newSnapshot() *snapshot { return &snapshot{leases: make(map[string]platform.LeaseID)} }
 
 // holds reports whether the lease of this run of a member is there.
-func (s *snapshot) holds(m wire.Member) bool { return s.leases[leaseKey(m)] }
+func (s *snapshot) holds(m wire.Member) bool {
+	_, ok := s.leases[leaseKey(m)]
+	return ok
+}
 
 // watchStore follows the watched keys and hands every snapshot to the control goroutine.
 func (e *Entry) watchStore(ctx context.Context) error {
@@ -112,7 +115,7 @@
 		case entry.Key == document.IndexKey:
 			s.index, err = document.DecodeIndex(entry.Value)
 		case strings.HasPrefix(entry.Key, leasePrefix):
-			s.leases[entry.Key] = true
+			s.leases[entry.Key] = entry.Lease
 		}
 		if err != nil {
 			e.log.WithField("key", entry.Key).WithField("cause", eris.ToString(err, false)).
