Find silent links by unanswered pings and lower the share of heartbeats

The budget of 5 KB/s did not add up at 730 links: heartbeats could take 3.0 KB/s, reports of quotas 1.5 KB/s in each direction, the store 1.2 KB/s. Heartbeats now get 2.0 KB/s and reports 0.5 KB/s in each direction.

That lengthens the interval at 730 links to 82 s, so a link no longer counts as silent after three intervals: it is closed when two pings, 2 s apart, had no answer.

--- a/internal/link/heartbeat.go
+++ b/internal/link/heartbeat.go
@@ -7,11 +7,15 @@
 const (
 	minHeartbeat   = 2 * time.Second
 	controlBudget  = 5_000 // bytes per second
-	heartbeatShare = 0.6
+	heartbeatShare = 0.4
 	// heartbeatBytes is the largest size of one ping, one pong and the acknowledgement of the pong, with the headers of
 	// WebSocket, TCP with time stamps, and IP. The pong carries the acknowledgement of the ping.
-	heartbeatBytes   = 224
-	silentIntervals  = 3
+	heartbeatBytes = 224
+	// pingTimeout is the time in which a ping is answered, with room for a busy process. A link is silent when
+	// silentPings in a row had no answer. The time does not grow with the interval, so that an agent with a dead link
+	// comes back soon also in a large deployment.
+	pingTimeout      = 2 * time.Second
+	silentPings      = 2
 	writeTimeout     = 10 * time.Second
 	handshakeTimeout = 5 * time.Second
 )
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -266,29 +266,31 @@
 	}
 }
 
-// watch sends a ping when nothing was received for one interval and closes the link after silentIntervals.
+// watch sends a ping when nothing was received for one interval and closes the link when silentPings had no answer.
 func (l *Link) watch() {
 	timer := l.options.Clock.NewTimer(time.Duration(l.heartbeat.Load()))
 	defer timer.Stop()
+	unanswered := 0
 	for {
 		select {
 		case <-l.done:
 			return
 		case <-timer.C():
 		}
-		interval := time.Duration(l.heartbeat.Load())
-		idle := l.idle()
-		if idle >= silentIntervals*interval {
+		delay := l.pingDelay(time.Duration(l.heartbeat.Load()))
+		if idle := l.idle(); idle < delay {
+			unanswered = 0
+			timer.Reset(delay - idle)
+			continue
+		}
+		if unanswered == silentPings {
 			l.options.Stats.Silent.Add(1)
 			l.Close(ErrSilent)
 			return
 		}
-		if idle >= l.pingDelay(interval) {
-			_ = l.ping()
-			timer.Reset(min(interval, silentIntervals*interval-idle))
-			continue
-		}
-		timer.Reset(l.pingDelay(interval) - idle)
+		_ = l.ping()
+		unanswered++
+		timer.Reset(pingTimeout)
 	}
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -46,11 +46,11 @@
 	// MinInterval is the interval of reports in a small deployment.
 	MinInterval = time.Second
 	// MaxInterval bounds the interval in a large one.
-	MaxInterval = 20 * time.Second
+	MaxInterval = 60 * time.Second
 	// reportBytes is the size of one team in a report.
 	reportBytes = 24
-	// reportBudget is the traffic in bytes per second that an entry spends on reports.
-	reportBudget = 1500
+	// reportBudget is the traffic in bytes per second that an entry sends as reports; it receives as much.
+	reportBudget = 500
 )
 
 // Interval returns the time between two reports of an entry with so many peers and active teams, so that the reports
