Let a leaving agent pass over homes that left clean

An agent that stopped after an entry had left waited 10 s for the confirmation of results that this entry had had before its handover. A home that departed clean is not asked any more. TestRollingRestartOfEntriesUnderLoad took 12.8 s before and 4.1 s after; a wait for spare HTTP connections of the test was ruled out by closing them.

--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
@@ -61,11 +62,12 @@
 	close(d.drained)
 }
 
-// delivered reports whether every home has confirmed its results, and asks those that have not.
+// delivered reports whether every home has confirmed its results, and asks those that have not. A home that left the
+// list of entries clean had all its results before.
 func (d *leaving) delivered(c *control, now time.Time) bool {
 	all := true
-	for _, state := range c.homes {
-		if state.delivered || now.Sub(state.lastResult) > wire.MaxDeadline {
+	for incarnation, state := range c.homes {
+		if state.delivered || now.Sub(state.lastResult) > wire.MaxDeadline || departedClean(c.records.List(), incarnation) {
 			continue
 		}
 		all = false
@@ -98,3 +100,9 @@
 		}
 	}
 }
+
+func departedClean(list *wire.EntryList, incarnation uint64) bool {
+	return list != nil && slices.ContainsFunc(list.Departed, func(d wire.Departed) bool {
+		return d.Incarnation == incarnation && d.Clean
+	})
+}
