--- /dev/null
+++ b/internal/entry/storebench_test.go
@@ -0,0 +1,360 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/document"
+	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Times of the tests, shorter than the defaults.
+const (
+	testLeaseTTL       = 2 * time.Second
+	testExpulsionDelay = time.Second
+	// inForceWithin is the bound within which an accepted document is in force everywhere.
+	inForceWithin = 4 * time.Second
+	// waitLimit bounds waits that are no subject of a test.
+	waitLimit = 15 * time.Second
+	poll      = 10 * time.Millisecond
+	testToken = "link"
+)
+
+// storeBench is a stand-in store with entries in this process.
+type storeBench struct {
+	*gomega.WithT
+	t       *testing.T
+	server  *standin.Server
+	store   *platform.Consul
+	editor  *document.Editor
+	network *network
+	nodes   []*node
+}
+
+func newStoreBench(t *testing.T) *storeBench {
+	g := gomega.NewWithT(t)
+	server, err := standin.Start("127.0.0.1:0", standin.Options{MinTTL: testLeaseTTL})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(server.Close)
+	store, err := platform.NewConsul(platform.Options{Address: server.URL()})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(store.Close)
+	return &storeBench{
+		WithT: g, t: t, server: server, store: store, editor: document.NewEditor(store, clock.System{}),
+		network: newNetwork(),
+	}
+}
+
+// node is a running entry whose connections a test can cut.
+type node struct {
+	*Entry
+	store *cutStore
+}
+
+// add creates an entry that does not run yet.
+func (b *storeBench) add(id string, change func(o *Options)) *node {
+	store, err := platform.NewConsul(platform.Options{Address: b.server.URL()})
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.t.Cleanup(store.Close)
+	n := &node{store: &cutStore{Store: store}}
+	dialer := &testDialer{network: b.network}
+	options := Options{
+		ID: id, CallerAddress: "127.0.0.1:0", LinkAddress: "127.0.0.1:0", LeaseTTL: testLeaseTTL,
+		ExpulsionDelay: testExpulsionDelay, ReadinessDelay: -1, StopTimeout: time.Second, Store: n.store,
+		Dialer: dialer, LinkToken: testToken, Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+	}
+	if change != nil {
+		change(&options)
+	}
+	n.Entry, err = New(options)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	dialer.self = n.LinkAddress()
+	b.nodes = append(b.nodes, n)
+	return n
+}
+
+// run runs an entry until the end of the test.
+func (b *storeBench) run(n *node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = n.Run(ctx)
+	}()
+	b.t.Cleanup(func() {
+		cancel()
+		n.store.restore()
+		<-ended
+	})
+}
+
+// start starts entries and waits until all are members with leases and see each other.
+func (b *storeBench) start(ids ...string) []*node {
+	var started []*node
+	for _, id := range ids {
+		started = append(started, b.add(id, nil))
+	}
+	for _, n := range started {
+		b.run(n)
+	}
+	b.settled()
+	return started
+}
+
+// settled waits until all entries agree with the store, hold their leases and are linked.
+func (b *storeBench) settled() {
+	b.t.Helper()
+	b.Eventually(func() bool {
+		for _, n := range b.nodes {
+			if !n.isSettled(len(b.nodes)) {
+				return false
+			}
+		}
+		return true
+	}, waitLimit, poll).Should(gomega.BeTrue())
+}
+
+func (n *node) isSettled(members int) bool {
+	settled := false
+	n.in(func(c *control) {
+		linked := 0
+		for _, p := range c.peers {
+			if p.link != nil {
+				linked++
+			}
+		}
+		settled = c.isSettled(c.seen) && c.records.loaded && len(c.list.Members) == members && linked == members-1
+	})
+	return settled
+}
+
+// in runs f in the control goroutine of a running entry.
+func (n *node) in(f func(c *control)) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	if err := n.call(ctx, f); err != nil {
+		panic(err)
+	}
+}
+
+func (n *node) list() (list wire.EntryList) {
+	n.in(func(c *control) { list = c.list })
+	return list
+}
+
+// revision returns the revision of a service that is in force.
+func (n *node) revision(service string) (revision uint64) {
+	n.in(func(c *control) {
+		if s := c.services[service]; s != nil {
+			revision = s.revision
+		}
+	})
+	return revision
+}
+
+// leave cuts the links of the entry for good.
+func (n *node) leave() { b := n.options.Dialer.(*testDialer); b.network.isolate(b.self) }
+
+// put writes a revision of a service and returns it.
+func (b *storeBench) put(service string, expected uint64) document.Document {
+	b.t.Helper()
+	d, err := b.editor.Put(b.t.Context(), edit(service, expected))
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	return d
+}
+
+func edit(service string, expected uint64) document.Edit {
+	body := fmt.Sprintf("service: %s\nteam: t\nkinds: [{name: k}]\n# %d\n", service, expected)
+	return document.Edit{Service: service, Expected: expected, Author: "ada", Body: []byte(body)}
+}
+
+// inForce waits until the revision is in force in all the entries.
+func (b *storeBench) inForce(service string, revision uint64, within time.Duration, nodes ...*node) {
+	b.t.Helper()
+	for _, n := range nodes {
+		b.Eventually(func() uint64 { return n.revision(service) }, within, poll).Should(gomega.Equal(revision), n.options.ID)
+	}
+}
+
+// index returns the index in the store.
+func (b *storeBench) index() document.Index {
+	entry, err := b.store.Get(context.Background(), document.IndexKey)
+	if err != nil {
+		return nil
+	}
+	index, err := document.DecodeIndex(entry.Value)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	return index
+}
+
+// leases returns the keys of the leases in the store.
+func (b *storeBench) leases() []string {
+	seen, err := b.store.List(context.Background(), leasePrefix)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	var keys []string
+	for _, entry := range seen.Entries {
+		keys = append(keys, entry.Key)
+	}
+	return keys
+}
+
+// remove deletes a key of the store.
+func (b *storeBench) remove(key string) {
+	request, err := http.NewRequest(http.MethodDelete, b.server.URL()+"/v1/kv/"+key, nil)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(response.Body.Close()).To(gomega.Succeed())
+}
+
+// cutStore is the way of one entry to the store. While it is cut, calls fail at once.
+type cutStore struct {
+	platform.Store
+	mu     sync.Mutex
+	isCut  bool
+	cancel []context.CancelFunc
+	// lists counts reads of all records, gets those of one record.
+	lists, gets atomic.Int64
+}
+
+func (s *cutStore) cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isCut = true
+	for _, cancel := range s.cancel {
+		cancel()
+	}
+	s.cancel = nil
+}
+
+func (s *cutStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isCut = false
+}
+
+func (s *cutStore) pass(ctx context.Context, call func(ctx context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.mu.Lock()
+	if s.isCut {
+		s.mu.Unlock()
+		return platform.ErrUnavailable
+	}
+	s.cancel = append(s.cancel, cancel)
+	s.mu.Unlock()
+	return call(ctx)
+}
+
+func (s *cutStore) Get(ctx context.Context, key string) (entry platform.Entry, err error) {
+	err = s.pass(ctx, func(ctx context.Context) (err error) {
+		if strings.HasPrefix(key, document.Prefix) {
+			s.gets.Add(1)
+		}
+		entry, err = s.Store.Get(ctx, key)
+		return err
+	})
+	return entry, err
+}
+
+func (s *cutStore) List(ctx context.Context, prefix string) (seen platform.Snapshot, err error) {
+	err = s.pass(ctx, func(ctx context.Context) (err error) {
+		s.lists.Add(1)
+		seen, err = s.Store.List(ctx, prefix)
+		return err
+	})
+	return seen, err
+}
+
+func (s *cutStore) Watch(ctx context.Context, prefix string, index uint64, wait time.Duration) (seen platform.Snapshot, err error) {
+	err = s.pass(ctx, func(ctx context.Context) (err error) {
+		seen, err = s.Store.Watch(ctx, prefix, index, wait)
+		return err
+	})
+	return seen, err
+}
+
+func (s *cutStore) CompareAndSwap(ctx context.Context, key string, value []byte, version uint64) error {
+	return s.pass(ctx, func(ctx context.Context) error { return s.Store.CompareAndSwap(ctx, key, value, version) })
+}
+
+func (s *cutStore) CreateLease(ctx context.Context, ttl time.Duration) (id platform.LeaseID, err error) {
+	err = s.pass(ctx, func(ctx context.Context) (err error) { id, err = s.Store.CreateLease(ctx, ttl); return err })
+	return id, err
+}
+
+func (s *cutStore) BindKey(ctx context.Context, lease platform.LeaseID, key string, value []byte) error {
+	return s.pass(ctx, func(ctx context.Context) error { return s.Store.BindKey(ctx, lease, key, value) })
+}
+
+func (s *cutStore) RenewLease(ctx context.Context, lease platform.LeaseID) error {
+	return s.pass(ctx, func(ctx context.Context) error { return s.Store.RenewLease(ctx, lease) })
+}
+
+// network lets a test cut the links of an entry.
+type network struct {
+	mu       sync.Mutex
+	isolated map[string]bool
+	conns    []testConn
+}
+
+type testConn struct {
+	link.Conn
+	from, to string
+}
+
+func newNetwork() *network { return &network{isolated: make(map[string]bool)} }
+
+// isolate closes the links of an entry and lets no new one through.
+func (n *network) isolate(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isolated[address] = true
+	for _, c := range n.conns {
+		if c.from == address || c.to == address {
+			_ = c.Close()
+		}
+	}
+}
+
+// testDialer dials for the entry with the link address self.
+type testDialer struct {
+	network *network
+	self    string
+}
+
+func (d *testDialer) Dial(ctx context.Context, address string) (link.Conn, error) {
+	d.network.mu.Lock()
+	cut := d.network.isolated[d.self] || d.network.isolated[address]
+	d.network.mu.Unlock()
+	if cut {
+		return nil, link.ErrDial
+	}
+	conn, err := link.WebSocketDialer{Token: testToken}.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	d.network.mu.Lock()
+	defer d.network.mu.Unlock()
+	if d.network.isolated[d.self] || d.network.isolated[address] {
+		_ = conn.Close()
+		return nil, link.ErrDial
+	}
+	c := testConn{Conn: conn, from: d.self, to: address}
+	d.network.conns = append(d.network.conns, c)
+	return c, nil
+}
--- /dev/null
+++ b/internal/entry/storedocuments_test.go
@@ -0,0 +1,225 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/document"
+	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+)
+
+// revisions returns the revision of each record in the store.
+func (b *storeBench) revisions() map[string]uint64 {
+	seen, err := b.store.List(b.t.Context(), document.Prefix)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	registry := document.NewRegistry()
+	registry.ApplySnapshot(seen.Entries)
+	return registry.Revisions()
+}
+
+// Guards against an entry that depends on the store for documents: one that cannot reach it has to get an accepted
+// document through the links within the bound.
+func TestCutOffEntriesGetDocumentsThroughTheLinks(t *testing.T) {
+	t.Parallel()
+	b := newStoreBench(t)
+	nodes := b.start("a", "b", "c")
+	for _, n := range nodes[1:] {
+		n.store.cut()
+	}
+	d := b.put("bench", 0)
+	b.inForce("bench", d.Revision, inForceWithin, nodes...)
+}
+
+// Guards against older data in the store that stays there, and against entries that go back to it.
+func TestRestoredStoreIsRepaired(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"older", "empty"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newStoreBench(t)
+			b.start("a", "b")
+			b.put("bench", 0)
+			if name == "older" {
+				b.server.Snapshot()
+			}
+			b.put("bench", 1)
+			b.put("later", 0)
+			b.start("c")
+			b.inForce("bench", 2, inForceWithin, b.nodes...)
+			b.inForce("later", 1, inForceWithin, b.nodes...)
+			before, index := b.nodes[0].list(), b.index()
+			b.server.Restore()
+			b.Eventually(b.index, waitLimit, poll).Should(gomega.Equal(index))
+			b.Expect(b.revisions()).To(gomega.Equal(map[string]uint64{"bench": 2, "later": 1}))
+			b.settled()
+			for _, n := range b.nodes {
+				b.Expect(n.list()).To(gomega.Equal(before))
+				b.Expect([]uint64{n.revision("bench"), n.revision("later")}).To(gomega.Equal([]uint64{2, 1}))
+			}
+		})
+	}
+}
+
+// Guards against an edit that stays unknown because its editor died before it raised the index, against a record that
+// alone is lost, and against a check by more than one entry, or by none when the first is cut off from the store.
+func TestFullCheckByOneEntry(t *testing.T) {
+	t.Parallel()
+	b := newStoreBench(t)
+	nodes := b.start("a", "b", "c")
+	b.put("other", 0)
+	b.inForce("other", 1, inForceWithin, nodes...)
+	for i, checker := range nodes[:2] {
+		for _, n := range nodes {
+			n.in(func(c *control) {
+				c.records.interval = time.Second
+				c.planCheck(c.records.interval)
+			})
+		}
+		service := []string{"first", "second"}[i]
+		b.remove(document.Key("other"))
+		b.writeRecord(service)
+		var lists []int64
+		for _, n := range nodes {
+			lists = append(lists, n.store.lists.Load())
+		}
+		b.inForce(service, 1, waitLimit, nodes...)
+		b.Eventually(b.index, waitLimit, poll).Should(gomega.HaveKey(service))
+		b.Eventually(b.revisions, waitLimit, poll).Should(gomega.HaveKey("other"))
+		for j, n := range nodes {
+			b.Expect(n.store.lists.Load() > lists[j]).To(gomega.Equal(n == checker), n.options.ID)
+		}
+		checker.store.cut()
+		b.Eventually(b.leases, waitLimit, poll).Should(gomega.HaveLen(len(nodes) - 1 - i))
+	}
+}
+
+// writeRecord writes a first revision without the index.
+func (b *storeBench) writeRecord(service string) {
+	e := edit(service, 0)
+	value, err := json.Marshal(document.Record{Revision: 1, EditID: "x", Author: e.Author, Body: string(e.Body)})
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	b.Expect(b.store.CompareAndSwap(b.t.Context(), document.Key(service), value, 0)).To(gomega.Succeed())
+}
+
+// Guards against entries that miss the last one of many edits in quick succession, or that differ after them, also when
+// answers of the store are lost.
+func TestTwoEditorsRace(t *testing.T) {
+	t.Parallel()
+	const edits = 15
+	b := newStoreBench(t)
+	nodes := b.start("a", "b", "c")
+	b.Expect(b.server.SetFaults(standin.Faults{LoseAnswers: 5, DropWrites: 2})).To(gomega.Succeed())
+	var editors sync.WaitGroup
+	for range 2 {
+		editors.Add(1)
+		go func() {
+			defer editors.Done()
+			editor := document.NewEditor(b.store, clock.System{})
+			for range edits {
+				b.putNext(editor)
+			}
+		}()
+	}
+	editors.Wait()
+	b.inForce("bench", 2*edits, inForceWithin, nodes...)
+	b.Expect(b.revisions()).To(gomega.Equal(map[string]uint64{"bench": 2 * edits}))
+	digests := map[uint64]bool{}
+	for _, n := range nodes {
+		_, digest := n.versions.Versions()
+		digests[digest] = true
+	}
+	b.Expect(digests).To(gomega.HaveLen(1))
+}
+
+// putNext edits the service until an edit is accepted.
+func (b *storeBench) putNext(editor *document.Editor) {
+	for {
+		record, err := editor.Get(b.t.Context(), "bench")
+		if err != nil && !errors.Is(err, document.ErrNotFound) {
+			continue
+		}
+		_, err = editor.Put(b.t.Context(), edit("bench", record.Revision))
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, document.ErrConflict) && !errors.Is(err, document.ErrUnreachable) {
+			b.t.Errorf("edit: %v", err)
+			return
+		}
+	}
+}
+
+// hookedReads calls a hook before each read of a record. An error of the hook is that of the read.
+type hookedReads struct {
+	platform.Store
+	hook func() error
+}
+
+func (s hookedReads) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if strings.HasPrefix(key, document.Prefix) {
+		if err := s.hook(); err != nil {
+			return platform.Entry{}, err
+		}
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// startHooked starts a single entry, which gets documents from the store only.
+func (b *storeBench) startHooked(hook func() error) *node {
+	n := b.add("a", nil)
+	n.store.Store = hookedReads{Store: n.store.Store, hook: hook}
+	b.run(n)
+	b.settled()
+	return n
+}
+
+// Guards against a document that waits for the next change because its record could not be read at once.
+func TestRecordIsReadAgain(t *testing.T) {
+	t.Parallel()
+	b := newStoreBench(t)
+	var reads atomic.Int64
+	n := b.startHooked(func() error {
+		if reads.Add(1) <= 2 {
+			return platform.ErrUnavailable
+		}
+		return nil
+	})
+	b.put("bench", 0)
+	b.inForce("bench", 1, inForceWithin, n)
+	b.Expect(reads.Load()).To(gomega.BeNumerically(">", 2))
+}
+
+// Guards against a document that waits for the next change because it was accepted while another record was read.
+func TestEditDuringAReadIsNotForgotten(t *testing.T) {
+	t.Parallel()
+	b := newStoreBench(t)
+	reading, release := make(chan struct{}, 1), make(chan struct{})
+	n := b.startHooked(func() error {
+		select {
+		case reading <- struct{}{}:
+		default:
+		}
+		<-release
+		return nil
+	})
+	b.put("bench", 0)
+	<-reading
+	b.put("later", 0)
+	b.Eventually(func() (shown bool) {
+		n.in(func(c *control) { _, shown = c.seen.index["later"] })
+		return shown
+	}, waitLimit, poll).Should(gomega.BeTrue())
+	close(release)
+	b.inForce("later", 1, inForceWithin, n)
+	b.inForce("bench", 1, inForceWithin, n)
+}
--- /dev/null
+++ b/internal/entry/storesync_test.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Guards against a join that overwrites another one, so that an entry believes that it is a member and is not.
+func TestSeveralEntriesJoinAtOnce(t *testing.T) {
+	t.Parallel()
+	b := newStoreBench(t)
+	nodes := b.start("a", "b", "c", "d", "e")
+	list := nodes[0].list()
+	b.Expect(list.Version).To(gomega.BeEquivalentTo(len(nodes)))
+	b.Expect(list.Departed).To(gomega.BeEmpty())
+	for _, n := range nodes[1:] {
+		b.Expect(n.list()).To(gomega.Equal(list))
+	}
+	b.Expect(b.leases()).To(gomega.HaveLen(len(nodes)))
+}
+
+// Guards against a write without an answer that is taken as failed or as done, so that an entry joins twice or not at
+// all.
+func TestLostAnswersOfWrites(t *testing.T) {
+	t.Parallel()
+	for writes := range 5 {
+		for name, f := range map[string]standin.Faults{"lost": {LoseAnswers: writes}, "dropped": {DropWrites: writes}} {
+			t.Run(fmt.Sprintf("%s %d", name, writes), func(t *testing.T) {
+				t.Parallel()
+				b := newStoreBench(t)
+				b.Expect(b.server.SetFaults(f)).To(gomega.Succeed())
+				nodes := b.start("a", "b")
+				b.Expect(nodes[0].list().Version).To(gomega.BeEquivalentTo(len(nodes)))
+				b.Expect(b.leases()).To(gomega.HaveLen(len(nodes)))
+			})
+		}
+	}
+}
+
+// droppedBinds is a store that loses the first writes of lease keys.
+type droppedBinds struct {
+	platform.Store
+	left *atomic.Int64
+}
+
+func (s droppedBinds) BindKey(ctx context.Context, lease platform.LeaseID, key string, value []byte) error {
+	if s.left.Add(-1) >= 0 {
+		return platform.ErrOutcomeUnknown
+	}
+	return s.Store.BindKey(ctx, lease, key, value)
+}
+
+// Guards against an entry that renews a lease to which its key was never bound.
+func TestLostWriteOfALeaseKey(t *testing.T) {
+	t.Parallel()
+	b := newStoreBench(t)
+	n := b.add("a", nil)
+	var left atomic.Int64
+	left.Store(2)
+	n.store.Store = droppedBinds{n.store.Store, &left}
+	b.run(n)
+	b.settled()
+	b.Expect(b.leases()).To(gomega.HaveLen(1))
+	b.Expect(left.Load()).To(gomega.BeNumerically("<", 0))
+}
+
+// Guards against a lease whose key is missing although the lease is alive, as after the restore of a store, and against
+// a former run that keeps the key of the lease from the next one.
+func TestLeaseKeyIsBoundAgain(t *testing.T) {
+	t.Parallel()
+	b := newStoreBench(t)
+	old, err := b.store.CreateLease(t.Context(), time.Hour)
+	b.Expect(err).NotTo(gomega.HaveOccurred())
+	former := wire.Member{ID: "a", Incarnation: 2}
+	b.Expect(b.store.BindKey(t.Context(), old, leaseKey(former), nil)).To(gomega.Succeed())
+	n := b.start("a")[0]
+	own := leaseKey(wire.Member{ID: "a", Incarnation: n.incarnation})
+	b.Expect(b.leases()).To(gomega.ConsistOf(own, leaseKey(former)))
+	b.remove(own)
+	b.Eventually(b.leases, waitLimit, poll).Should(gomega.ContainElement(own))
+}
