Do not take a link for silent whose answers are as old as the ping timeout

Frames received since the ping are counted now. The test runs with the shortest interval too and failed before.

--- a/internal/link/heartbeat_test.go
+++ b/internal/link/heartbeat_test.go
@@ -120,9 +120,16 @@
 // Guards against both ends pinging at the same moment, which doubles the traffic of idle links, and against a link that
 // is taken for silent although it is only idle.
 func TestIdleLinkCarriesOnePingPerInterval(t *testing.T) {
+	// With the shortest interval an answer is as old as the wait for it when the next ping is due.
+	for _, interval := range []time.Duration{2 * time.Second, 4 * time.Second} {
+		checkIdleLink(t, interval)
+	}
+}
+
+func checkIdleLink(t *testing.T, interval time.Duration) {
+	t.Helper()
 	g := gomega.NewWithT(t)
 	fake := clock.NewFake(time.Unix(1_700_000_000, 0))
-	const interval = 4 * time.Second
 	near, far, _, stats := memoryLinks(t, fake, interval)
 	const intervals = 30
 	advance(fake, intervals*interval, interval/16)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -270,16 +270,18 @@
 func (l *Link) watch() {
 	timer := l.options.Clock.NewTimer(time.Duration(l.heartbeat.Load()))
 	defer timer.Stop()
-	unanswered := 0
+	unanswered, before := 0, l.received.Load()
 	for {
 		select {
 		case <-l.done:
 			return
 		case <-timer.C():
 		}
+		if now := l.received.Load(); now != before {
+			unanswered, before = 0, now
+		}
 		delay := l.pingDelay(time.Duration(l.heartbeat.Load()))
 		if idle := l.idle(); idle < delay {
-			unanswered = 0
 			timer.Reset(delay - idle)
 			continue
 		}
