--- a/internal/submission/table_test.go
+++ b/internal/submission/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -166,10 +167,12 @@
 	g.Expect(table.Submit(later, split).Answer.Reason).To(gomega.Equal(wire.ReasonRecovering))
 
 	g.Expect(table.AgentConnected(later, far, epoch).Collect).To(gomega.HaveLen(1))
-	old := recordsOf()
-	old.ListVersion = 1
-	table.RecordsReceived(later, far, old)
-	g.Expect(table.Submit(later, s).Kind).To(gomega.Equal(submission.Wait), "an answer under an older list does not count")
+	for _, version := range []uint64{1, 3} {
+		other := recordsOf()
+		other.ListVersion = version
+		table.RecordsReceived(later, far, other)
+		g.Expect(table.Submit(later, s).Kind).To(gomega.Equal(submission.Wait), "an answer under another list does not count")
+	}
 	table.RecordsReceived(later, far, recordsOf(record(0)))
 	g.Expect(table.Submit(later, s).Kind).To(gomega.Equal(submission.Run))
 	g.Expect(table.RunningJobs()).To(gomega.HaveLen(1))
@@ -257,3 +260,60 @@
 	table.RecordsReceived(epoch, near, recordsOf(record))
 	g.Expect(table.Submit(epoch, s).Answer.Outcome).To(gomega.Equal(wire.OutcomeComplete))
 }
+
+// Guards against answers that an entry handed over to one that was expelled later: their records at the agents are
+// filed under the entry that left.
+func TestRecoveryAsksForEntriesThatLeftClean(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, near, _ := recovery(g)
+	left := wire.Departed{ID: "c", Incarnation: 5, Clean: true, AtVersion: 3, At: epoch}
+	g.Expect(collected(table.Adopt(epoch, departed(table.List(), left)), near)).To(gomega.ConsistOf(uint64(1)), "no expulsion after it")
+	lost := wire.Departed{ID: "d", Incarnation: 6, AtVersion: 4, At: epoch}
+	g.Expect(collected(table.Adopt(epoch, departed(table.List(), lost)), near)).To(gomega.ConsistOf(uint64(1), uint64(5), uint64(6)))
+}
+
+// departed returns the successor of a list with one more departed entry.
+func departed(list *wire.EntryList, d wire.Departed) *wire.EntryList {
+	return &wire.EntryList{Version: d.AtVersion, Members: list.Members, Departed: append(slices.Clone(list.Departed), d)}
+}
+
+func collected(actions submission.Actions, from submission.AgentRef) []uint64 {
+	var all []uint64
+	for _, c := range actions.Collect {
+		if c.Agent == from {
+			all = append(all, c.Message.ExpelledIncarnation)
+		}
+	}
+	return all
+}
+
+// Guards against an entry that joins after an expulsion and takes the agents it happens to know for all of them.
+func TestJoinerWithoutRosterIsCareful(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := entry("b", 2)
+	table := submission.New(submission.Config{Retention: retention}, b)
+	table.Adopt(epoch, &wire.EntryList{
+		Version: 2, Members: []wire.Member{b}, Departed: []wire.Departed{{ID: "a", Incarnation: 1, AtVersion: 2, At: epoch}},
+	})
+	g.Expect(table.Submit(epoch, sub(0)).Answer.Reason).To(gomega.Equal(wire.ReasonRecovering))
+	table.RosterReceived(epoch, entry("c", 7), &wire.AgentRoster{Full: true, Heard: []uint64{1}})
+	g.Expect(table.Submit(epoch, sub(0)).Kind).To(gomega.Equal(submission.Run))
+}
+
+// Guards against an expelled entry that starts tasks of a job which another entry may run by now, also after it joined
+// again.
+func TestNoStartAfterExpulsion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := alone(submission.Config{})
+	job := table.Submit(epoch, sub(1)).Job
+	g.Expect(table.MayStart(job)).To(gomega.BeTrue())
+	actions := table.Adopt(epoch, &wire.EntryList{Version: 2, Members: []wire.Member{entry("b", 2)}})
+	g.Expect(actions.Expelled).To(gomega.BeTrue())
+	g.Expect(table.MayStart(job)).To(gomega.BeFalse())
+	table.Rejoin(3)
+	table.Adopt(epoch, &wire.EntryList{Version: 3, Members: []wire.Member{entry("a", 3)}})
+	g.Expect(table.MayStart(job)).To(gomega.BeFalse())
+	final := table.Complete(epoch, job, &wire.Answer{Outcome: wire.OutcomeNotRun})
+	g.Expect(final.Reason).To(gomega.Equal(wire.ReasonExpelled))
+	g.Expect(final.Outcome).To(gomega.Equal(wire.OutcomeUnknown))
+}
