Export the calls of an entry to the store by kind

Every call to the store counts, but an entry did not show how many it makes. The adapter already counts calls and failures by kind. The entry now publishes both as "store" among its metrics, if its store counts at all.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"expvar"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/admin"
@@ -40,9 +41,16 @@
 	vars.Func("silent_links", func() any { return stats.Silent.Load() })
 	vars.Func("requests_in_progress", func() any { return e.inProgress.Load() })
 	vars.Func("store_down", func() any { return e.storeDown.Load() })
+	if store, ok := e.options.Store.(storeVars); ok {
+		vars.Func("store", func() any { return json.RawMessage(store.Vars().String()) })
+	}
 	return m
 }
 
+// storeVars is a store that counts its calls. The value is {"calls": {kind: number}, "failed": {kind: number}}; the kinds
+// are get, list, watch, compare_and_swap, lease_create, lease_bind, lease_renew and lease_release.
+type storeVars interface{ Vars() expvar.Var }
+
 var outcomeNames = map[wire.Outcome]string{
 	wire.OutcomeComplete: "complete", wire.OutcomeNotRun: "not_run", wire.OutcomeUnknown: "unknown",
 }
--- a/internal/entry/storetraffic_test.go
+++ b/internal/entry/storetraffic_test.go
@@ -162,3 +162,18 @@
 	b.Expect(n.store.gets.Load() - gets).To(gomega.BeEquivalentTo(edits))
 	b.Expect(n.store.lists.Load() - lists).To(gomega.BeZero())
 }
+
+// Guards against calls to the store that do not show in the metrics of the entry.
+func TestCallsToTheStoreAreInTheMetrics(t *testing.T) {
+	t.Parallel()
+	b := newStoreBench(t)
+	n := b.add("a", func(o *Options) { o.Store = b.store })
+	b.run(n)
+	b.settled()
+	var store struct{ Calls, Failed map[string]int }
+	b.Expect(json.Unmarshal([]byte(n.control.metrics.vars.Get("store").String()), &store)).To(gomega.Succeed())
+	for _, kind := range []string{"watch", "list", "get", "compare_and_swap", "lease_create", "lease_bind"} {
+		b.Expect(store.Calls).To(gomega.HaveKey(kind))
+	}
+	b.Expect(store.Failed).To(gomega.BeEmpty())
+}
