Publish metrics for every decision and make status readable

The metrics of an entry had no queue lengths, quotas, links, list, recovery or store calls, and wasted messages had one sum only. status printed raw fields in alphabetical order.

Figures that the control goroutine owns are brought up to date by a read of /debug/vars, through the control goroutine. Publishing them once a second was considered; it costs a pass over all upstreams and teams on every entry even if nobody reads, and shows older figures. figures_age_ms tells when the control goroutine does not answer.

wasted_messages now also counts probes, repeated results and results of tasks that had ended, as the design defines them; wasted_by_cause has the parts. Stats of the dispatch policy get a count of ejections, and the expected wait, which was declared but never set.

A test reads the metrics of both roles while work runs, under the race detector, and compares their names with the operators' page. The former test of status checked the generic printing of fields; its successor checks the same properties (no lost state, no rounded number, no control characters) on the summary of each role.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -48,7 +48,10 @@
 	Ready func() error
 	// Dump returns the state of the process as a value that JSON can represent. It must return when ctx ends.
 	Dump func(ctx context.Context) (any, error)
-	// DumpTimeout bounds Dump; 0 means 2 s.
+	// Refresh brings the metrics up to date before they are read. It must return when ctx ends; the metrics are then shown
+	// as they are. nil means that they always are up to date.
+	Refresh func(ctx context.Context)
+	// DumpTimeout bounds Dump and Refresh; 0 means 2 s.
 	DumpTimeout time.Duration
 	// Log may be nil.
 	Log log.Interface
@@ -150,6 +153,11 @@
 }
 
 func (s *Server) vars(c echo.Context) error {
+	if s.options.Refresh != nil {
+		ctx, cancel := context.WithTimeout(c.Request().Context(), s.options.DumpTimeout)
+		defer cancel()
+		s.options.Refresh(ctx)
+	}
 	return c.JSON(http.StatusOK, s.options.Vars.document(s.options.Role))
 }
 
--- a/internal/admin/vars.go
+++ b/internal/admin/vars.go
@@ -31,6 +31,9 @@
 // must be safe for concurrent use.
 func (v *Vars) Func(name string, f func() any) { v.root.Set(name, expvar.Func(f)) }
 
+// Set adds a metric that is kept elsewhere. It must be safe for concurrent use.
+func (v *Vars) Set(name string, metric expvar.Var) { v.root.Set(name, metric) }
+
 // Get returns the metric of that name, or nil.
 func (v *Vars) Get(name string) expvar.Var { return v.root.Get(name) }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -72,7 +72,7 @@
 		done:        make(chan struct{}),
 	}
 	a.vars = admin.NewVars()
-	a.metrics = newMetrics(a.vars, a.stats)
+	a.metrics = newMetrics(a)
 	if err := a.listenAdmin(); err != nil {
 		return nil, err
 	}
@@ -88,7 +88,7 @@
 	}
 	server, err := admin.New(admin.Options{
 		Address: o.AdminAddress, Token: o.AdminToken, Role: "agent", Vars: a.vars, Log: o.Log, Ready: a.ready,
-		Dump: func(ctx context.Context) (any, error) { return a.Dump(ctx) },
+		Dump: func(ctx context.Context) (any, error) { return a.Dump(ctx) }, Refresh: a.refreshMetrics,
 	})
 	if err != nil {
 		return eris.Wrapf(ErrAdmin, "%v", err)
--- a/internal/agent/dump.go
+++ b/internal/agent/dump.go
@@ -16,6 +16,8 @@
 type Dump struct {
 	ID          string            `json:"id"`
 	Incarnation uint64            `json:"incarnation"`
+	DataCentre  string            `json:"data_centre"`
+	Region      string            `json:"region,omitempty"`
 	StartedAt   time.Time         `json:"started_at"`
 	Leaving     bool              `json:"leaving"`
 	UpstreamUp  bool              `json:"upstream_up"`
@@ -75,7 +77,7 @@
 func (e dumpRequested) apply(c *control) {
 	d := &Dump{
 		ID: c.options.ID, Incarnation: c.agent.incarnation, StartedAt: c.agent.startedAt,
-		Leaving: c.leaving != nil, UpstreamUp: !c.agent.upstreamDown.Load(),
+		DataCentre: c.options.DataCentre, Region: c.options.Region, Leaving: c.leaving != nil, UpstreamUp: !c.agent.upstreamDown.Load(),
 		List: c.records.List(), Documents: c.documents.revisions(), Records: c.records.Stats(),
 	}
 	for incarnation, state := range c.homes {
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -58,21 +57,17 @@
 	return response.StatusCode, body, nil
 }
 
-// document returns the JSON object of an endpoint. It returns errOperator.
-func (o *operator) document(ctx context.Context, path string) (map[string]any, error) {
+// decode reads the JSON of an endpoint into target. It returns errOperator.
+func (o *operator) decode(ctx context.Context, path string, target any) error {
 	status, body, err := o.get(ctx, path)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if status != http.StatusOK {
-		return nil, eris.Wrapf(errOperator, "%s answered with status %d: %.200s", path, status, body)
+		return eris.Wrapf(errOperator, "%s answered with status %d: %.200s", path, status, body)
 	}
-	// Incarnations use all 64 bits, which a float64 would round.
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.UseNumber()
-	var document map[string]any
-	if err := decoder.Decode(&document); err != nil {
-		return nil, eris.Wrapf(errOperator, "%s: %v", path, err)
+	if err := json.Unmarshal(body, target); err != nil {
+		return eris.Wrapf(errOperator, "%s: %v", path, err)
 	}
-	return document, nil
+	return nil
 }
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -1,9 +1,8 @@
 package command
 
 import (
-	"bytes"
+	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -19,59 +18,39 @@
 // ExitNotReady is the exit code of status for a process that runs and takes no work.
 const ExitNotReady = 3
 
-// maxLineItems bounds the items of an object that are shown on one line.
-const maxLineItems = 16
+// Bounds of the setting rows.
+const (
+	defaultStatusRows = 20
+	maxStatusRows     = 100_000
+)
 
-// libraryMetrics are the metrics that package expvar publishes by itself; they belong to no role.
-var libraryMetrics = []string{"cmdline", "memstats"}
+// statusSettings are the settings of the subcommand status.
+type statusSettings struct {
+	operator operator
+	rows     int
+}
 
 func statusCommand() *subcommand {
 	c := newSubcommand("status", "print a summary of one process; the exit code is 0 if it takes work and 3 if it does not")
-	o := &operator{}
-	o.register(c.settings)
-	c.run = func(ctx context.Context, std streams) int { return status(ctx, o, std) }
-	return c
-}
-
-func dumpCommand() *subcommand {
-	c := newSubcommand("dump", "print the state of one process as JSON")
-	o := &operator{}
-	o.register(c.settings)
-	c.run = func(ctx context.Context, std streams) int { return dump(ctx, o, std) }
+	s := &statusSettings{}
+	s.operator.register(c.settings)
+	c.settings.Int(&s.rows, "rows", defaultStatusRows, 1, maxStatusRows, "most rows of each table")
+	c.run = s.run
 	return c
 }
 
-func dump(ctx context.Context, o *operator, std streams) int {
-	code, body, err := o.get(ctx, "/dump")
-	if err == nil && code != http.StatusOK {
-		err = eris.Wrapf(errOperator, "/dump answered with status %d: %.200s", code, body)
-	}
+func (s *statusSettings) run(ctx context.Context, std streams) int {
+	ready, cause, err := s.operator.get(ctx, "/readyz")
 	if err != nil {
 		return reportError(std, err, ExitFailure)
 	}
-	var text bytes.Buffer
-	if err := json.Indent(&text, bytes.TrimSpace(body), "", "  "); err != nil {
-		return reportError(std, eris.Wrapf(errOperator, "/dump: %v", err), ExitFailure)
-	}
-	fmt.Fprintln(std.out, text.String())
-	return ExitOK
-}
-
-func status(ctx context.Context, o *operator, std streams) int {
-	ready, cause, err := o.get(ctx, "/readyz")
-	if err != nil {
+	r := &report{w: std.out, rows: s.rows}
+	r.line("takes work", readiness(ready, cause))
+	if err := s.describe(ctx, r); err != nil {
 		return reportError(std, err, ExitFailure)
 	}
-	metrics, err := o.document(ctx, "/debug/vars")
-	if err != nil {
-		return reportError(std, err, ExitFailure)
-	}
-	state, err := o.document(ctx, "/dump")
-	if err != nil {
-		return reportError(std, err, ExitFailure)
-	}
-	if err := writeStatus(std.out, ready, string(cause), state, metrics); err != nil {
-		return reportError(std, err, ExitFailure)
+	if err := r.flush(); err != nil {
+		return reportError(std, eris.Wrap(err, "write the summary"), ExitFailure)
 	}
 	if ready != http.StatusOK {
 		return ExitNotReady
@@ -79,60 +58,91 @@
 	return ExitOK
 }
 
-// writeStatus writes the summary: readiness, the state with lists and large objects as counts, and the metrics.
-func writeStatus(w io.Writer, ready int, cause string, state, metrics map[string]any) error {
-	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	readiness := "yes"
-	if ready != http.StatusOK {
-		readiness = "no: " + strings.TrimSpace(cause)
+func readiness(status int, cause []byte) string {
+	if status == http.StatusOK {
+		return "yes"
 	}
-	fmt.Fprintf(table, "takes work\t%s\n", readiness)
-	writeFields(table, "", state)
-	for _, role := range slices.Sorted(maps.Keys(metrics)) {
-		if values, ok := metrics[role].(map[string]any); ok && !slices.Contains(libraryMetrics, role) {
-			fmt.Fprintf(table, "metrics of the %s\t\n", role)
-			writeFields(table, "  ", values)
-		}
+	return "no: " + strings.TrimSpace(string(cause))
+}
+
+// describe reads metrics and state and adds the summary of the role to the report.
+func (s *statusSettings) describe(ctx context.Context, r *report) error {
+	var metrics struct {
+		Entry *entryMetrics
+		Agent *agentMetrics
 	}
-	return table.Flush()
+	if err := s.operator.decode(ctx, "/debug/vars", &metrics); err != nil {
+		return err
+	}
+	switch {
+	case metrics.Entry != nil:
+		return s.describeEntry(ctx, r, metrics.Entry)
+	case metrics.Agent != nil:
+		return s.describeAgent(ctx, r, metrics.Agent)
+	default:
+		return eris.Wrap(errOperator, "/debug/vars has metrics of neither an entry nor an agent")
+	}
+}
+
+// report collects lines of names and values, and tables that follow them.
+type report struct {
+	w      io.Writer
+	rows   int
+	lines  [][2]string
+	tables []table
+}
+
+// table is a table of a report.
+type table struct {
+	header []string
+	rows   [][]string
 }
 
-func writeFields(w io.Writer, indent string, fields map[string]any) {
-	for _, name := range slices.Sorted(maps.Keys(fields)) {
-		fmt.Fprintf(w, "%s%s\t%s\n", indent, strings.ReplaceAll(name, "_", " "), summary(fields[name]))
+func (r *report) line(name, format string, args ...any) {
+	if len(args) > 0 {
+		format = fmt.Sprintf(format, args...)
 	}
+	r.lines = append(r.lines, [2]string{name, format})
 }
 
-// summary returns one line for a value of JSON.
-func summary(value any) string {
-	switch v := value.(type) {
-	case nil:
-		return "none"
-	case string:
-		return printable(v)
-	case json.Number:
-		return v.String()
-	case []any:
-		return strconv.Itoa(len(v)) + " items"
-	case map[string]any:
-		return summaryOfObject(v)
-	default:
-		return fmt.Sprint(v)
+// table adds a table, unless it has no rows.
+func (r *report) table(header string, rows [][]string) {
+	if len(rows) > 0 {
+		r.tables = append(r.tables, table{strings.Split(header, "|"), rows})
 	}
 }
 
-func summaryOfObject(object map[string]any) string {
-	if len(object) > maxLineItems {
-		return strconv.Itoa(len(object)) + " items"
+func (r *report) flush() error {
+	w := tabwriter.NewWriter(r.w, 0, 0, columnGap, ' ', 0)
+	for _, line := range r.lines {
+		fmt.Fprintf(w, "%s\t%s\n", line[0], printable(line[1]))
 	}
-	parts := make([]string, 0, len(object))
-	for _, name := range slices.Sorted(maps.Keys(object)) {
-		value := object[name]
-		if inner, ok := value.(map[string]any); ok {
-			parts = append(parts, fmt.Sprintf("%s=(%d items)", printable(name), len(inner)))
-			continue
+	for _, t := range r.tables {
+		fmt.Fprintf(w, "\n%s\n", strings.Join(t.header, "\t"))
+		shown := t.rows[:min(len(t.rows), r.rows)]
+		for _, row := range shown {
+			for i, cell := range row {
+				row[i] = printable(cell)
+			}
+			fmt.Fprintln(w, strings.Join(row, "\t"))
+		}
+		if hidden := len(t.rows) - len(shown); hidden > 0 {
+			fmt.Fprintf(w, "and %d more\n", hidden)
+		}
+	}
+	return w.Flush()
+}
+
+// counts returns "name=n name=n", the largest first, or "none".
+func counts(values map[string]uint64) string {
+	names := slices.SortedFunc(maps.Keys(values), func(a, b string) int {
+		return cmp.Or(cmp.Compare(values[b], values[a]), strings.Compare(a, b))
+	})
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		if values[name] > 0 {
+			parts = append(parts, name+"="+strconv.FormatUint(values[name], 10))
 		}
-		parts = append(parts, printable(name)+"="+summary(value))
 	}
 	if len(parts) == 0 {
 		return "none"
@@ -145,3 +155,6 @@
 	quoted := strconv.Quote(text)
 	return strings.ReplaceAll(quoted[1:len(quoted)-1], `\"`, `"`)
 }
+
+// mebibytes formats a number of bytes.
+func mebibytes(n int) string { return fmt.Sprintf("%.1f MiB", float64(n)/(1<<20)) }
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -31,6 +31,7 @@
 	case !ok && x.results >= minEjectionResults && e.standsOut(now, u, g) && e.mayEject(g):
 		x.ejected, x.failures = true, 0
 		x.next = now + instant(g.Rest)
+		e.counters.Ejections++
 	}
 }
 
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -9,6 +9,7 @@
 // Stats are figures of a policy. Counters count since the start.
 type Stats struct {
 	Upstreams, Ejected     int
+	Ejections              uint64
 	Waiting, WaitingUrgent int
 	OpenAttempts           int
 	Assigned               uint64
@@ -17,8 +18,9 @@
 	Overloaded, NoUpstream uint64 // tasks or, at submission, jobs
 	DeadlineMissed         uint64
 	DrainRate              float64 // slots that this entry got while tasks waited; 0 if not known
-	ExpectedWait           time.Duration
-	ByUpstream             []UpstreamStats `json:",omitempty"`
+	// ExpectedWait is the time in which the tasks that wait now are expected to have started.
+	ExpectedWait time.Duration
+	ByUpstream   []UpstreamStats `json:",omitempty"`
 }
 
 // UpstreamStats is the entry's view of one upstream.
@@ -63,6 +65,9 @@
 	}
 	for _, p := range e.poolList {
 		s.DrainRate += p.drain.rate
+		if work := p.backlogOf(classNormal); work > 0 {
+			s.ExpectedWait = max(s.ExpectedWait, time.Duration(p.timeFor(e, at, work)))
+		}
 	}
 	return s
 }
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -213,11 +213,11 @@
 	}
 	a := s.attempts[m.Attempt]
 	if a == nil {
-		c.metrics.lateResults.Add(1)
+		c.metrics.countLateResult()
 		return
 	}
 	result, answer := convertResult(m)
-	c.metrics.countResult(m)
+	c.metrics.countResult(m, a)
 	c.endAttempt(a, result, answer)
 	load := dispatch.Load{Running: m.Load.Running, RunningLong: m.Load.RunningLong, Queued: m.Load.Queued}
 	a.job.service.policy.Report(c.now, s.id, load)
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -74,7 +74,7 @@
 			dispatch.Result{State: dispatch.Refused, Reason: wire.RefusedDown})
 		return
 	}
-	c.metrics.starts.Add(1)
+	c.metrics.countStart(assignment)
 	session.attempts[a.id] = a
 	t := &j.tasks[a.index]
 	t.attempts = append(t.attempts, a)
@@ -117,7 +117,7 @@
 	if a.acked || a.agent.link == nil {
 		return
 	}
-	c.metrics.suspects.Add(1)
+	c.metrics.countSuspect()
 	a.agent.link.Probe(probeTimeout)
 }
 
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -19,6 +19,7 @@
 	server := echo.New()
 	server.HideBanner, server.HidePort = true, true
 	server.HTTPErrorHandler = writeEchoError
+	server.Use(e.control.metrics.countCallers)
 	group := server.Group("/v1/services/:service", e.authorizeCaller)
 	group.POST("/jobs", e.postJob)
 	group.POST("/requests/:kind", e.postRequest)
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -111,6 +111,7 @@
 // admit takes the tasks of a new job from the quota of its team.
 func (c *control) admit(job *wire.Job) *wire.ForwardReply {
 	ok, retryAfter := c.quotas.Admit(c.now, job.Team, len(job.Tasks))
+	c.metrics.countQuota(job, ok)
 	if ok {
 		return nil
 	}
