--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -155,7 +155,7 @@
 
 // mayStart tells whether this entry may start tasks of a job. A job with a caller's key needs membership, because another
 // entry can take the key over once this one was removed.
-func (c *control) mayStart(j *job) bool { return j.tableJob == 0 || c.table.IsMember() }
+func (c *control) mayStart(j *job) bool { return j.tableJob == 0 || c.table.MayStart(j.tableJob) }
 
 // membership returns the state of this entry in the list, and false when it is no member.
 func (c *control) membership() (wire.MemberState, bool) {
