--- /dev/null
+++ b/internal/e2e/agent_test.go
@@ -0,0 +1,112 @@
+package e2e_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/api"
+)
+
+// Guards against a task of a killed agent that is started again at another one, and against an agent that is not used
+// any more after its host was replaced.
+func TestAgentKilledUnderLoad(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	c := newCluster(t, options{})
+	load := c.startLoad(8, &load{doubled: 0.2})
+	time.Sleep(time.Second)
+	victim := c.agents[0]
+	victim.kill()
+	time.Sleep(1500 * time.Millisecond)
+	c.startAgent(victim)
+	time.Sleep(1500 * time.Millisecond)
+	s := load.verify()
+	g.Expect(s.complete).To(gomega.BeNumerically(">", s.keys*3/4))
+	c.waitSettled(10 * time.Second)
+	before := c.startsAt(victim.upstream)
+	g.Eventually(func() int {
+		r, err := submit(context.Background(), c.entries[0], newJob("quote", 4*time.Second, 20, 20, 20, 20, 20, 20, 20, 20))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(r.Outcome).To(gomega.Equal(api.OutcomeComplete))
+		return c.startsAt(victim.upstream)
+	}, "5s", "20ms").Should(gomega.BeNumerically(">", before))
+}
+
+// Guards against a task that a paused agent starts after it was given to another one or refused, and against results
+// of the pause that are lost.
+func TestAgentPausedUnderLoad(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	c := newCluster(t, options{slots: 2})
+	load := c.startLoad(8, &load{doubled: 0.2})
+	for _, pause := range []time.Duration{300 * time.Millisecond, 2500 * time.Millisecond} {
+		time.Sleep(700 * time.Millisecond)
+		victim := c.agents[1]
+		victim.freeze()
+		time.Sleep(pause)
+		victim.thaw()
+	}
+	time.Sleep(2 * time.Second)
+	s := load.verify()
+	g.Expect(s.complete).To(gomega.BeNumerically(">", s.keys*3/4))
+	c.waitSettled(15 * time.Second)
+}
+
+// Guards against a task that is started again after its upstream did the work and lost the answer.
+func TestUpstreamResetsConnectionsAfterTheWork(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	c := newCluster(t, options{})
+	for _, u := range c.upstreams[:2] {
+		c.upstreamFaults(u, map[string]any{"reset": true})
+	}
+	load := c.startLoad(6, &load{doubled: 0.2})
+	time.Sleep(2500 * time.Millisecond)
+	s := load.verify()
+	g.Expect(s.reasons["unknown upstream_lost"]).To(gomega.BeNumerically(">", 0), "no answer was lost, so the test proved nothing")
+	g.Expect(s.complete).To(gomega.BeNumerically(">", 0))
+}
+
+// Guards against work that is refused or unknown because some upstreams refuse connections, and against a not_run that
+// is not true when all of them do.
+func TestUpstreamsThatRefuseConnections(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	c := newCluster(t, options{})
+	for _, u := range c.upstreams[:3] {
+		c.upstreamFaults(u, map[string]any{"refuse": true})
+	}
+	load := c.startLoad(4, &load{doubled: 0.2})
+	time.Sleep(2 * time.Second)
+	s := load.verify()
+	g.Expect(s.complete).To(gomega.Equal(s.keys), "tasks go to the upstream that is left: %v", s)
+
+	c.upstreamFaults(c.upstreams[3], map[string]any{"refuse": true})
+	j := newJob("charge", 1500*time.Millisecond, 20, 20)
+	r, err := submit(context.Background(), c.entries[0], j)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.Outcome).To(gomega.Equal(api.OutcomeNotRun), "%+v", r.Answer)
+	g.Expect(r.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	for _, u := range c.upstreams {
+		c.upstreamFaults(u, map[string]any{})
+	}
+	time.Sleep(time.Second)
+	g.Expect(c.startsOf(j.key, 2)).To(gomega.BeZero())
+	g.Expect(c.untilFinal(c.entries[1], j, 5*time.Second).Outcome).To(gomega.Equal(api.OutcomeComplete))
+}
+
+// startsAt returns the number of tasks that an upstream started.
+func (c *cluster) startsAt(u *upstream) int {
+	c.t.Helper()
+	var counters struct {
+		Starts int `json:"starts"`
+	}
+	if err := c.getJSON("http://"+u.control+"/counters", &counters); err != nil {
+		c.t.Fatal(err)
+	}
+	return counters.Starts
+}
