Make sure that tasks run at the agent that is killed

The proof passed on a scratch copy in which the tasks of a replaced agent were sent again, because nothing ran there when it was killed. With 16 tasks of 1.2 s over the agents it fails there (6 of 4 tasks started).

--- a/internal/e2e/agent_test.go
+++ b/internal/e2e/agent_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,13 +20,26 @@
 	g := gomega.NewWithT(t)
 	c := newCluster(t, options{})
 	load := c.startLoad(8, &load{doubled: 0.2})
-	time.Sleep(time.Second)
+	time.Sleep(500 * time.Millisecond)
 	victim := c.agents[0]
+	// Every agent runs some of these tasks when one is killed.
+	var long sync.WaitGroup
+	for range 4 {
+		j := newJob("charge", 6*time.Second, 1200, 1200, 1200, 1200)
+		long.Add(1)
+		go func() {
+			defer long.Done()
+			load.untilFinal(rand.New(rand.NewPCG(5, 5)), j)
+		}()
+		c.waitRunning(j.key, 4)
+	}
 	victim.kill()
 	time.Sleep(1500 * time.Millisecond)
 	c.startAgent(victim)
 	time.Sleep(1500 * time.Millisecond)
+	long.Wait()
 	s := load.verify()
+	g.Expect(s.reasons["unknown upstream_lost"]).To(gomega.BeNumerically(">", 0), "nothing ran at the killed agent")
 	g.Expect(s.complete).To(gomega.BeNumerically(">", s.keys*3/4))
 	c.waitSettled(10 * time.Second)
 	before := c.startsAt(victim.upstream)
