--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -158,6 +158,20 @@
 	load.expectUntouched()
 }
 
+// Guards against an entry that joins and gets no agents while their other links are busy, and against a join that
+// refuses or repeats work.
+func TestEntryJoinsUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{})
+	b := c.startBalancer()
+	load := c.startLoad(plannedCallers, &load{targets: b.targets, doubled: 0.2})
+	time.Sleep(500 * time.Millisecond)
+	c.addEntry("entry-4")
+	c.waitSettled(5 * time.Second)
+	time.Sleep(500 * time.Millisecond)
+	load.expectUntouched()
+}
+
 // Guards against two kinds of process that cannot be stopped at the same time.
 func TestEntryAndAgentsStoppedTogetherUnderLoad(t *testing.T) {
 	t.Parallel()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -25,10 +25,16 @@
 	return false
 }
 
-// updateDiallers starts a dialler for each member with a higher id and stops those of entries that left.
+// updateDiallers starts a dialler for each member with a higher id and stops those of entries that left. While this entry
+// is not in the list, nobody dials it, so it dials every member.
 func (c *control) updateDiallers() {
+	_, member := c.membership()
 	for _, m := range c.list.Members {
-		if m.ID <= c.options.ID {
+		if m.ID == c.options.ID {
+			continue
+		}
+		if m.ID < c.options.ID && member {
+			c.stopDialling(m.ID)
 			continue
 		}
 		p := c.peerOf(m.ID)
@@ -48,6 +54,14 @@
 	}
 }
 
+// stopDialling leaves the dialling to the other side. The present link stays until it closes by itself.
+func (c *control) stopDialling(id string) {
+	if p := c.peers[id]; p != nil && p.stopDialler != nil {
+		p.stopDialler()
+		p.stopDialler = nil
+	}
+}
+
 // forgetPeer stops dialling an entry that left the list. Its link stays until it closes by itself, since the entry may
 // still have answers to send.
 func (c *control) forgetPeer(p *peer) {
