--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -11,40 +11,59 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/settings"
 )
 
+// maxResultMB bounds the memory for recorded results.
+const maxResultMB = 1 << 16
+
 // agentSettings are the settings of the agent role as they come from the command line.
 type agentSettings struct {
+	set                    *settings.Set
 	log                    logSettings
 	options                agent.Options
 	memoryMB, accelerators int
 	resultMB               int
 }
 
-func (s *agentSettings) register(set *settings.Set) {
-	o := &s.options
-	set.String(&o.ID, "id", "", "id of the upstream, unique in the deployment", true)
-	set.String(&o.DataCentre, "data-centre", "", "data centre of this host", true)
-	set.String(&o.Region, "region", "", "region of this host", false)
-	set.List(&o.Services, "services", "", "services whose tasks the upstream accepts")
-	set.List(&o.Entries, "entries", "", "host:port addresses of some entries to begin with")
+func (s *agentSettings) register() {
+	set, o := s.set, &s.options
+	set.Name(&o.ID, "id", "id of the upstream, unique in the deployment and the same after a restart", placeName, placeNameText)
+	processSettings{
+		dataCentre: &o.DataCentre, region: &o.Region, linkToken: &o.LinkToken, adminAddress: &o.AdminAddress,
+		adminToken: &o.AdminToken, retention: &o.Retention, stopTimeout: &o.StopTimeout,
+	}.register(set, agent.DefaultRetention)
+	set.RequiredList(&o.Services, "services", "services whose tasks the upstream accepts")
+	set.Addresses(&o.Entries, "entries", "link addresses of some entries to begin with; the others are learned", true)
 	set.Custom("upstream", "", "URL of the upstream", "http URL with a host", s.parseUpstream)
-	set.String(&o.LinkToken, "link-token", "", "token by which processes of the system authenticate to each other", true)
 	set.Int(&o.Slots, "slots", agent.DefaultSlots, 1, agent.MaxSlots, "most tasks that run at once")
 	set.Int(&o.Connections, "connections", agent.DefaultConnections, 1, agent.MaxConnections, "most connections to the upstream")
 	set.Int(&o.Queue, "queue", agent.DefaultQueue, 1, agent.MaxQueue, "most tasks that wait for a slot at the agent")
 	set.Int(&s.memoryMB, "memory-mb", 0, 0, math.MaxInt32, "memory in MiB that the worker offers to tasks")
 	set.Int(&s.accelerators, "accelerators", 0, 0, math.MaxUint16, "accelerators that the worker offers to tasks")
-	set.Duration(&o.Retention, "retention", agent.DefaultRetention, agent.MinRetention, agent.MaxRetention,
-		"how long start records are kept; the same for all processes")
 	set.Int(&o.Records, "records", agent.DefaultRecords, 1, agent.MaxRecords, "most start records that are kept")
-	set.Int(&s.resultMB, "result-mb", agent.DefaultResultBytes>>20, 1, 1<<16, "memory in MiB for recorded results")
-	set.Duration(&o.StopTimeout, "stop-timeout", defaultStopTimeout, minStopTimeout, maxStopTimeout,
-		"longest wait of a graceful shutdown")
-	set.String(&o.AdminAddress, "admin-address", "", "host:port of the operator endpoints; empty turns them off", false)
-	set.String(&o.AdminToken, "admin-token", "", "bearer token of the operator endpoints", false)
+	set.Int(&s.resultMB, "result-mb", agent.DefaultResultBytes>>20, 1, maxResultMB, "memory in MiB for recorded results")
 	s.log.register(set)
+	s.addRules()
+}
+
+// addRules adds the rules on several settings of an agent.
+func (s *agentSettings) addRules() {
+	o := &s.options
+	s.set.AddRule(settings.Rule{
+		Names:   []string{"records", "slots", "queue"},
+		Broken:  func() bool { return o.Records < o.Slots+o.Queue },
+		Problem: "the start records do not even cover what runs and waits; allowed: records of at least slots plus queue",
+	})
+	s.set.AddRule(settings.Rule{
+		Names:   []string{"connections", "slots"},
+		Broken:  func() bool { return o.Connections < o.Slots },
+		Problem: "a task holds one connection, so that no more tasks run at once than there are connections",
+		Warn:    true,
+	})
 }
 
 func (s *agentSettings) parseUpstream(value string) error {
+	if value == "" {
+		return eris.New("is not set")
+	}
 	parsed, err := url.Parse(value)
 	if err != nil || parsed.Scheme != "http" || parsed.Host == "" {
 		return eris.New("is not such a URL")
@@ -55,21 +74,33 @@
 
 func agentCommand() *subcommand {
 	c := newSubcommand("agent", "run the agent beside an upstream")
-	s := &agentSettings{}
-	s.register(c.settings)
-	c.run = func(ctx context.Context, std streams) int {
-		s.options.Log = s.log.logger(std.err)
-		s.options.MemoryMB = uint32(s.memoryMB)
-		s.options.Accelerators = uint16(s.accelerators)
-		s.options.ResultBytes = s.resultMB << 20
-		a, err := agent.New(s.options)
-		if err != nil {
-			return usageError(std, err)
-		}
-		if err := a.Run(ctx); err != nil {
-			return ExitFailure
-		}
-		return ExitOK
-	}
+	s := &agentSettings{set: c.settings}
+	s.register()
+	c.run = s.run
 	return c
 }
+
+// run serves until the process is told to stop.
+func (s *agentSettings) run(ctx context.Context, std streams) int {
+	s.options.Log = s.log.logger(std.err)
+	warn(s.options.Log, "agent", s.set)
+	s.options.MemoryMB = uint32(s.memoryMB)
+	s.options.Accelerators = uint16(s.accelerators)
+	s.options.ResultBytes = s.resultMB << 20
+	a, err := agent.New(s.options)
+	if err != nil {
+		return reportError(std, err, startExit(err))
+	}
+	if err := a.Run(ctx); err != nil {
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+// startExit tells an option that is not allowed from an address that cannot be used now.
+func startExit(err error) int {
+	if eris.Is(err, agent.ErrOptions) {
+		return ExitUsage
+	}
+	return ExitFailure
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/apex/log"
@@ -17,17 +19,17 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/settings"
 )
 
-// Version is the version of the program.
-const Version = "0.1.0"
-
 // programName begins each message of the program itself.
 const programName = "coltsfootspur"
 
-// Exit codes shared by all subcommands. Subcommands define others for results of their own.
+// Exit codes shared by all subcommands. Subcommands define others for results of their own. docs/operators.md lists all.
 const (
-	ExitOK      = 0
+	// ExitOK: done, or stopped as planned.
+	ExitOK = 0
+	// ExitFailure: the work failed, or a promise was broken.
 	ExitFailure = 1
-	ExitUsage   = 2
+	// ExitUsage: the command line or a setting is not allowed; nothing was tried.
+	ExitUsage = 2
 )
 
 // streams are the standard streams of the process, replaced in tests.
@@ -82,6 +84,7 @@
 	defer stop()
 	commands, groups := subcommands()
 	std := streams{in: os.Stdin, out: os.Stdout, err: os.Stderr}
+	reportUnknownVariables(std.err, os.Environ(), withMembers(commands, groups))
 	return run(ctx, args, std, os.LookupEnv, commands, groups)
 }
 
@@ -128,9 +131,17 @@
 	}
 	for _, g := range groups {
 		parser.AttachSubcommand(g.flags, 1)
-		commands = append(commands, g.members...)
 	}
-	return parser, commands
+	return parser, withMembers(commands, groups)
+}
+
+// withMembers returns the subcommands together with those of the groups.
+func withMembers(commands []*subcommand, groups []*group) []*subcommand {
+	all := slices.Clone(commands)
+	for _, g := range groups {
+		all = append(all, g.members...)
+	}
+	return all
 }
 
 func commandOf(commands []*subcommand, selected *selection) *subcommand {
@@ -145,7 +156,7 @@
 // inform shows the help or the version.
 func inform(std streams, selected *selection, command *subcommand) int {
 	if !selected.help {
-		fmt.Fprintln(std.out, Version)
+		fmt.Fprintln(std.out, versionText())
 		return ExitOK
 	}
 	var described []settings.Description
@@ -171,9 +182,21 @@
 	return code
 }
 
+// reportSettings reports every setting that is not allowed.
+func reportSettings(std streams, err error) int {
+	var invalid *settings.InvalidError
+	if !errors.As(err, &invalid) {
+		return reportError(std, err, ExitUsage)
+	}
+	for _, problem := range invalid.Problems {
+		fmt.Fprintf(std.err, "%s: setting %s\n", programName, problem)
+	}
+	return ExitUsage
+}
+
 func (c *subcommand) execute(ctx context.Context, std streams, lookup func(string) (string, bool)) int {
 	if err := c.settings.Resolve(lookup); err != nil {
-		return reportError(std, err, ExitUsage)
+		return reportSettings(std, err)
 	}
 	return c.run(ctx, std)
 }
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/coltsfootspur/coltsfootspur/internal/deployment"
 	"github.com/coltsfootspur/coltsfootspur/internal/devcluster"
 	"github.com/coltsfootspur/coltsfootspur/internal/loadgen"
@@ -32,7 +29,7 @@
 	set.Duration(&s.duration, "duration", 0, 0, maxRunDuration, "time for which load is driven; 0 stays up without load")
 	set.Int(&s.seed, "seed", 1, 0, 1<<31-1, "seed of the load")
 	factor(set, &s.scale, "demand", "factor by which the demand of the deployment is multiplied")
-	set.Bool(&s.json, "json", false, "print the result as one line of JSON")
+	set.Bool(&s.json, "json", false, "print the result as one line of JSON and not indented")
 	set.Bool(&s.verbose, "verbose", false, "print the logs of all processes")
 	s.log.register(set)
 }
@@ -48,7 +45,7 @@
 func (s *devSettings) run(ctx context.Context, std streams) int {
 	d, err := deployment.Load(s.deployment)
 	if err != nil {
-		return usageError(std, err)
+		return reportError(std, err, ExitUsage)
 	}
 	options := devcluster.Options{Deployment: d}
 	if s.verbose {
@@ -56,8 +53,7 @@
 	}
 	cluster, err := devcluster.Start(ctx, options)
 	if err != nil {
-		fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
-		return ExitFailure
+		return reportError(std, err, ExitFailure)
 	}
 	defer cluster.Close()
 	if s.duration == 0 {
@@ -72,17 +68,15 @@
 func (s *devSettings) drive(ctx context.Context, std streams, cluster *devcluster.Cluster, d *deployment.Deployment) int {
 	config, err := loadgen.FromDeployment(d, "")
 	if err != nil {
-		return usageError(std, err)
+		return reportError(std, err, ExitUsage)
 	}
 	config.Entries = cluster.CallerURLs()
 	config.Duration, config.Seed, config.DemandScale = s.duration, uint64(s.seed), s.scale
 	config.ClientDelay = d.Network.ToClients
 	config.Starts, config.Waste = cluster, cluster
-	result, err := loadgen.Run(ctx, config)
-	if err != nil {
-		fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
-		return ExitFailure
+	progress := newProgressLine(std.err)
+	if s.verbose {
+		progress = nil // it would be mixed with the logs
 	}
-	result.Deployment = d.Name
-	return printResult(std, result, s.json)
+	return runLoad(ctx, std, config, loadOutput{deployment: d.Name, json: s.json, progress: progress})
 }
--- /dev/null
+++ b/internal/command/entry_settings.go
@@ -0,0 +1,112 @@
+package command
+
+import (
+	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/entry"
+	"github.com/coltsfootspur/coltsfootspur/internal/settings"
+)
+
+// Bounds of the settings of an entry.
+const (
+	minTableEntries = 1000
+	maxTableEntries = 50_000_000
+	maxTableMB      = 1 << 16
+	minLeaseTTL     = 2 * time.Second
+	maxLeaseTTL     = 10 * time.Minute
+	maxDelay        = 10 * time.Minute
+	// storeMinLeaseTTL is the shortest time to live that Consul accepts by its published protocol.
+	storeMinLeaseTTL = 10 * time.Second
+	// leaseRenewals is the number of renewals within one time to live.
+	leaseRenewals = 3
+)
+
+// entrySettings are the settings of the entry role as they come from the command line.
+type entrySettings struct {
+	set     *settings.Set
+	log     logSettings
+	store   storeSettings
+	options entry.Options
+	tableMB int
+}
+
+func (s *entrySettings) register() {
+	set, o := s.set, &s.options
+	set.Name(&o.ID, "id", "id of the entry, unique in the deployment and the same after a restart", entryName, entryNameText)
+	processSettings{
+		dataCentre: &o.DataCentre, region: &o.Region, linkToken: &o.LinkToken, adminAddress: &o.AdminAddress,
+		adminToken: &o.OperatorToken, retention: &o.Retention, stopTimeout: &o.StopTimeout,
+	}.register(set, entry.DefaultRetention)
+	s.registerAddresses()
+	set.Int(&o.TableEntries, "table-entries", entry.DefaultTableEntries, minTableEntries, maxTableEntries,
+		"most submissions that are remembered")
+	set.Int(&s.tableMB, "table-mb", entry.DefaultTableBytes>>20, 1, maxTableMB, "memory in MiB for remembered answers")
+	set.Duration(&o.LeaseTTL, "lease-ttl", entry.DefaultLeaseTTL, minLeaseTTL, maxLeaseTTL, "time to live of the lease in the store")
+	set.Duration(&o.ExpulsionDelay, "expulsion-delay", entry.DefaultExpulsionDelay, time.Second, maxDelay,
+		"how long lease and link of another entry are gone before it is removed")
+	set.Duration(&o.ReadinessDelay, "readiness-delay", entry.DefaultReadinessDelay, time.Millisecond, maxDelay,
+		"time between the fall of the readiness and the end of the listener")
+	s.store.register(set)
+	s.log.register(set)
+	s.addRules()
+}
+
+func (s *entrySettings) registerAddresses() {
+	set, o := s.set, &s.options
+	set.ListenAddress(&o.CallerAddress, "caller-address", "127.0.0.1:8080", "host:port for callers", true)
+	set.String(&o.CallerToken, "caller-token", "", "bearer token of callers; empty lets every caller in", false)
+	set.ListenAddress(&o.LinkAddress, "link-address", "127.0.0.1:8081", "host:port for agents and other entries", true)
+	set.Address(&o.AdvertiseAddress, "advertise-address", "",
+		"host:port under which others reach the link address; empty for the link address itself", false)
+	set.Addresses(&o.Peers, "peers", "link addresses of other entries, used while the store is out at the start", false)
+}
+
+// addRules adds the rules on several settings of an entry.
+func (s *entrySettings) addRules() {
+	set, o := s.set, &s.options
+	for _, pair := range [][2]string{
+		{"caller-address", "link-address"}, {"caller-address", "admin-address"}, {"link-address", "admin-address"},
+	} {
+		set.AddRule(settings.Rule{
+			Names:   pair[:],
+			Broken:  func() bool { return s.samePort(pair[0], pair[1]) },
+			Problem: "are the same address; each interface needs one of its own",
+		})
+	}
+	set.AddRule(settings.Rule{
+		Names:   []string{"link-address", "advertise-address"},
+		Broken:  func() bool { return settings.Unspecified(o.LinkAddress) && o.AdvertiseAddress == "" },
+		Problem: "the link address names no host, so others do not know how to reach it; set advertise-address",
+	})
+	set.AddRule(settings.Rule{
+		Names:   []string{"readiness-delay", "stop-timeout"},
+		Broken:  func() bool { return o.ReadinessDelay >= o.StopTimeout },
+		Problem: "the delay leaves no time for the shutdown; allowed: readiness-delay below stop-timeout",
+	})
+	set.AddRule(settings.Rule{
+		Names:   []string{"lease-ttl"},
+		Broken:  func() bool { return o.LeaseTTL < storeMinLeaseTTL },
+		Problem: "Consul refuses leases below " + storeMinLeaseTTL.String(),
+		Warn:    true,
+	})
+	set.AddRule(settings.Rule{
+		Names:   []string{"store-timeout", "lease-ttl"},
+		Broken:  func() bool { return s.store.options.CallTimeout > o.LeaseTTL/leaseRenewals },
+		Problem: "one call without an answer can cost the lease; store-timeout should be at most a third of lease-ttl",
+		Warn:    true,
+	})
+	set.AddRule(settings.Rule{
+		Names:   []string{"caller-address", "caller-token"},
+		Broken:  func() bool { return o.CallerToken == "" && !settings.Loopback(o.CallerAddress) },
+		Problem: "every host that reaches the caller address can submit jobs; set caller-token unless each is trusted",
+		Warn:    true,
+	})
+}
+
+// samePort reports whether two addresses are the same. Port 0 stands for a free port and is never the same.
+func (s *entrySettings) samePort(a, b string) bool {
+	address := map[string]string{
+		"caller-address": s.options.CallerAddress, "link-address": s.options.LinkAddress, "admin-address": s.options.AdminAddress,
+	}
+	return address[a] == address[b] && !settings.AnyPort(address[a])
+}
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math"
 	"strconv"
@@ -32,6 +31,7 @@
 	deployment, service, adminToken           string
 	entries, upstreams, processes, wasteNames []string
 	seed                                      int
+	json                                      bool
 	config                                    loadgen.Config
 }
 
@@ -56,6 +56,7 @@
 	set.List(&s.processes, "processes", "", "operator addresses of the processes, whose metrics tell the wasted messages")
 	set.String(&s.adminToken, "admin-token", "", "bearer token of the operator endpoints", false)
 	set.List(&s.wasteNames, "wasted-metrics", "entry.wasted_messages", "metrics of wasted messages; each process has one of them")
+	set.Bool(&s.json, "json", false, "print the result as one line of JSON and not indented")
 	s.log.register(set)
 }
 
@@ -122,32 +123,5 @@
 	}
 	logger := s.log.logger(std.err)
 	logger.WithFields(log.Fields{"entries": len(config.Entries), "duration": config.Duration, "seed": config.Seed}).Info("load: started")
-	result, runErr := loadgen.Run(ctx, config)
-	if result == nil {
-		code := ExitFailure
-		if eris.Is(runErr, loadgen.ErrConfig) {
-			code = ExitUsage
-		}
-		return reportError(std, runErr, code)
-	}
-	result.Deployment = s.deployment
-	encoder := json.NewEncoder(std.out)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(result); err != nil {
-		return reportError(std, eris.Wrap(err, "write the result"), ExitFailure)
-	}
-	return s.verdict(std, logger, result, runErr)
-}
-
-// verdict returns ExitFailure when a counter could not be read or a promise was broken.
-func (s *loadSettings) verdict(std streams, logger log.Interface, result *loadgen.Result, runErr error) int {
-	code := ExitOK
-	if runErr != nil {
-		code = reportError(std, runErr, ExitFailure)
-	}
-	for _, violation := range result.Violations() {
-		logger.WithField("seed", result.Seed).Error("load: " + violation)
-		code = ExitFailure
-	}
-	return code
+	return runLoad(ctx, std, config, loadOutput{deployment: s.deployment, json: s.json, progress: newProgressLine(std.err)})
 }
--- a/internal/command/policy_compare.go
+++ b/internal/command/policy_compare.go
@@ -8,8 +8,6 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/coltsfootspur/coltsfootspur/internal/dispatch/policysim"
 )
 
@@ -79,8 +77,7 @@
 func (p *policyCompare) run(std streams) int {
 	rows, err := policysim.Compare(p.plan())
 	if err != nil {
-		fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
-		return ExitFailure
+		return reportError(std, err, ExitFailure)
 	}
 	if p.json {
 		encoder := json.NewEncoder(std.out)
@@ -90,8 +87,7 @@
 		err = printRows(std.out, rows)
 	}
 	if err != nil {
-		fmt.Fprintf(std.err, "coltsfootspur: %v\n", err)
-		return ExitFailure
+		return reportError(std, err, ExitFailure)
 	}
 	return ExitOK
 }
--- /dev/null
+++ b/internal/command/process_settings.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/settings"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// Bounds of the settings that entries and agents share.
+const (
+	// minRetention covers a submission and one that is repeated after its deadline.
+	minRetention = 2 * wire.MaxDeadline
+	maxRetention = 24 * time.Hour
+	// defaultStopTimeout is longer than the longest deadline of a job (60 s) plus the handover.
+	defaultStopTimeout = 75 * time.Second
+	minStopTimeout     = 100 * time.Millisecond
+	maxStopTimeout     = 10 * time.Minute
+)
+
+// Rules for names. The id of an entry is a part of keys in the store and of issued idempotency keys. Ids of upstreams and
+// data centres are named in documents and have the rule of the documents.
+var (
+	entryName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+	placeName = regexp.MustCompile(`^[\p{L}\p{N}][\p{L}\p{N}\p{M} ._:/-]{0,99}$`)
+)
+
+const (
+	entryNameText = "1 to 63 letters, digits, '.', '_' and '-', beginning with a letter or digit"
+	placeNameText = "1 to 100 letters, digits, blanks, '.', '_', ':', '/' and '-', beginning with a letter or digit"
+)
+
+// processSettings points to the settings that entries and agents share.
+type processSettings struct {
+	dataCentre, region, linkToken, adminAddress, adminToken *string
+	retention, stopTimeout                                  *time.Duration
+}
+
+// register adds the settings and their rules.
+func (p processSettings) register(set *settings.Set, defaultRetention time.Duration) {
+	set.Name(p.dataCentre, "data-centre", "data centre of this host", placeName, placeNameText)
+	set.String(p.region, "region", "", "region of this host; empty in a deployment with one region", false)
+	set.String(p.linkToken, "link-token", "", "token by which processes of the system authenticate to each other", true)
+	set.ListenAddress(p.adminAddress, "admin-address", "", "host:port of the operator endpoints; empty turns them off", false)
+	set.String(p.adminToken, "admin-token", "", "bearer token of the operator endpoints", false)
+	set.Duration(p.retention, "retention", defaultRetention, minRetention, maxRetention,
+		"how long submissions and start records are kept; the same for all processes, at least twice the longest deadline")
+	set.Duration(p.stopTimeout, "stop-timeout", defaultStopTimeout, minStopTimeout, maxStopTimeout,
+		"longest wait of a graceful shutdown")
+	set.AddRule(settings.Rule{
+		Names:   []string{"admin-address", "admin-token"},
+		Broken:  func() bool { return *p.adminAddress != "" && *p.adminToken == "" },
+		Problem: "operator endpoints need a token; set admin-token, or leave admin-address empty",
+	})
+	set.AddRule(settings.Rule{
+		Names:   []string{"stop-timeout"},
+		Broken:  func() bool { return *p.stopTimeout < wire.MaxDeadline },
+		Problem: fmt.Sprintf("a stop can cut requests in progress, whose deadline is up to %s", wire.MaxDeadline),
+		Warn:    true,
+	})
+}
+
+// warn logs the warnings of the settings.
+func warn(logger log.Interface, prefix string, set *settings.Set) {
+	for _, text := range set.Warnings() {
+		logger.Warn(prefix + ": setting " + text)
+	}
+}
--- a/internal/command/result.go
+++ b/internal/command/result.go
@@ -1,32 +1,56 @@
 package command
 
 import (
+	"context"
 	"encoding/json"
-	"fmt"
+
+	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/loadgen"
 )
 
-// printResult prints the result of a load run and returns ExitFailure if it saw a broken promise.
-func printResult(std streams, result *loadgen.Result, asJSON bool) int {
-	var text []byte
-	var err error
-	if asJSON {
-		text, err = json.Marshal(result)
-	} else {
-		text, err = json.MarshalIndent(result, "", "  ")
+// loadOutput tells how the result of a load is shown.
+type loadOutput struct {
+	deployment string
+	json       bool          // on one line
+	progress   *progressLine // nil for none
+}
+
+// runLoad puts a load on entries, prints the result and returns the exit code. It is ExitOK only if every counter could
+// be read and no promise was broken.
+func runLoad(ctx context.Context, std streams, config loadgen.Config, out loadOutput) int {
+	if out.progress != nil {
+		config.Progress = out.progress.show
+	}
+	result, runErr := loadgen.Run(ctx, config)
+	out.progress.clear()
+	if result == nil {
+		code := ExitFailure
+		if eris.Is(runErr, loadgen.ErrConfig) {
+			code = ExitUsage
+		}
+		return reportError(std, runErr, code)
 	}
-	if err != nil {
-		fmt.Fprintf(std.err, "coltsfootspur: %v\n", err)
-		return ExitFailure
+	result.Deployment = out.deployment
+	if err := printResult(std, result, out.json); err != nil {
+		return reportError(std, eris.Wrap(err, "write the result"), ExitFailure)
 	}
-	fmt.Fprintf(std.out, "%s\n", text)
-	violations := result.Violations()
-	for _, v := range violations {
-		fmt.Fprintf(std.err, "coltsfootspur: %s\n", v)
+	code := ExitOK
+	if runErr != nil {
+		code = reportError(std, runErr, ExitFailure)
 	}
-	if len(violations) > 0 {
-		return ExitFailure
+	for _, violation := range result.Violations() {
+		code = reportError(std, eris.Errorf("seed %d: %s", result.Seed, violation), ExitFailure)
+	}
+	return code
+}
+
+func printResult(std streams, result *loadgen.Result, oneLine bool) error {
+	indent := "  "
+	if oneLine {
+		indent = ""
 	}
-	return ExitOK
+	encoder := json.NewEncoder(std.out)
+	encoder.SetIndent("", indent)
+	return encoder.Encode(result)
 }
--- a/internal/command/standin_platform.go
+++ b/internal/command/standin_platform.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/coltsfootspur/coltsfootspur/internal/settings"
 	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
 )
@@ -48,8 +45,7 @@
 	logger := s.log.logger(std.err)
 	server, err := standin.Start(s.listen, s.options)
 	if err != nil {
-		fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
-		return ExitFailure
+		return reportError(std, err, ExitFailure)
 	}
 	defer server.Close()
 	logger.WithField("url", server.URL()).Info("stand-in: store is listening")
--- a/internal/command/standin_upstream.go
+++ b/internal/command/standin_upstream.go
@@ -29,12 +29,11 @@
 	c.run = func(ctx context.Context, std streams) int {
 		s, err := upstream.New(*o)
 		if err != nil {
-			return usageError(std, err)
+			return reportError(std, err, ExitUsage)
 		}
 		fmt.Fprintf(std.out, "tasks %s\ncontrol %s\n", s.URL(), s.ControlURL())
 		if err := s.Serve(ctx); err != nil {
-			fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
-			return ExitFailure
+			return reportError(std, err, ExitFailure)
 		}
 		return ExitOK
 	}
--- a/internal/command/store_settings.go
+++ b/internal/command/store_settings.go
@@ -1,12 +1,17 @@
 package command
 
 import (
+	"net/url"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/coltsfootspur/coltsfootspur/internal/platform"
 	"github.com/coltsfootspur/coltsfootspur/internal/settings"
 )
 
+const defaultStore = "http://127.0.0.1:8500"
+
 // Bounds of the time for one call to the store.
 const (
 	minStoreTimeout = 50 * time.Millisecond
@@ -17,11 +22,20 @@
 type storeSettings struct{ options platform.Options }
 
 func (s *storeSettings) register(set *settings.Set) {
-	set.String(&s.options.Address, "store", "http://127.0.0.1:8500", "base URL of the platform's key-value service", true)
+	set.Custom("store", defaultStore, "base URL of the platform's key-value service", "http or https URL with a host", s.parseAddress)
 	set.String(&s.options.Token, "store-token", "", "access token of the key-value service; empty for none", false)
 	set.Duration(&s.options.CallTimeout, "store-timeout", platform.DefaultCallTimeout, minStoreTimeout, maxStoreTimeout,
 		"longest wait for one answer of the key-value service")
 }
 
+func (s *storeSettings) parseAddress(value string) error {
+	base, err := url.Parse(value)
+	if err != nil || base.Host == "" || (base.Scheme != "http" && base.Scheme != "https") {
+		return eris.New("is not such a URL")
+	}
+	s.options.Address = value
+	return nil
+}
+
 // open returns the adapter. It makes no call. The error is platform.ErrRejected for an invalid address.
 func (s *storeSettings) open() (*platform.Consul, error) { return platform.NewConsul(s.options) }
--- a/internal/command/tools_test.go
+++ b/internal/command/tools_test.go
@@ -131,7 +131,11 @@
 	code, result, errors := load()
 	g.Expect(code).To(gomega.Equal(ExitFailure))
 	g.Expect(result.Partial).To(gomega.Equal(result.Jobs))
-	g.Expect(errors).To(gomega.ContainSubstring("load: "))
+	g.Expect(errors).To(gomega.ContainSubstring("seed 1: "))
+	g.Expect(errors).To(gomega.ContainSubstring("jobs with a partial answer (P2)"))
+	g.Expect(errors).NotTo(gomega.ContainSubstring("\r"), "progress is for terminals only")
+	_, out, _ := tool("load", "--entries", entry.URL, "--duration", "1s", "--grace", "100ms", "--json")
+	g.Expect(strings.Count(out, "\n")).To(gomega.Equal(1))
 
 	for _, args := range [][]string{{"--deployment", "none"}, {"--service", "none"}, {"--entries", "ftp://x"}, {"--demand", "0"}, {"--demand", "NaN"}} {
 		code, _, _ := tool(append([]string{"load"}, args...)...)
--- a/internal/loadgen/config.go
+++ b/internal/loadgen/config.go
@@ -63,6 +63,8 @@
 	// Starts reads the counters of the upstreams, Waste those of the processes. Either may be nil.
 	Starts StartCounter
 	Waste  WasteCounter
+	// Progress is called about once a second by one goroutine; nil means that nobody wants to know.
+	Progress func(Progress)
 	// Clock is the time; nil means the time of the system.
 	Clock clock.Clock
 }
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -40,16 +40,13 @@
 	client := newClient(config)
 	defer client.close()
 	results := make(chan jobResult, config.MaxInFlight)
+	g := &generator{config: config, client: client, begin: begin, results: results}
+	g.slots = make(chan struct{}, config.MaxInFlight)
 	recorded := make(chan struct{})
 	go func() {
 		defer close(recorded)
-		for job := range results {
-			r.record(&job)
-		}
+		r.recordAll(results, func() { r.report(begin, len(g.slots)) })
 	}()
-
-	g := &generator{config: config, client: client, begin: begin, results: results}
-	g.slots = make(chan struct{}, config.MaxInFlight)
 	notSent, err := g.arrivals(ctx)
 	g.inFlight.Wait()
 	close(results)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,17 +17,33 @@
 // ErrInvalid is returned for a setting whose value is not allowed.
 var ErrInvalid = eris.New("invalid setting")
 
+// InvalidError is ErrInvalid with every problem that was found.
+type InvalidError struct {
+	// Problems are messages for people, one for each setting or rule.
+	Problems []string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string { return strings.Join(e.Problems, "\n") }
+
+// Unwrap makes the error an ErrInvalid.
+func (e *InvalidError) Unwrap() error { return ErrInvalid }
+
 // Set holds the settings of one subcommand. A flag wins over an environment variable, and that over the default.
 type Set struct {
-	sub     *flaggy.Subcommand
-	entries []*entry
+	sub      *flaggy.Subcommand
+	entries  []*entry
+	rules    []Rule
+	warnings []string
 }
 
 type entry struct {
 	name, fallback, flag string
 	usage, allowed       string
-	toggle               bool
-	assign               func(value string) error
+	// source tells where the value came from, set by Resolve.
+	source string
+	toggle bool
+	assign func(value string) error
 }
 
 // notGiven is the value of a flag that was not given. No argument of a process can hold this byte, so an empty value is
@@ -78,19 +94,6 @@
 	})
 }
 
-// List adds a setting with texts separated by commas.
-func (s *Set) List(target *[]string, name, fallback, usage string) {
-	s.Custom(name, fallback, usage, "texts separated by commas", func(value string) error {
-		*target = nil
-		for item := range strings.SplitSeq(value, ",") {
-			if item = strings.TrimSpace(item); item != "" {
-				*target = append(*target, item)
-			}
-		}
-		return nil
-	})
-}
-
 // Int adds a whole number between low and high.
 func (s *Set) Int(target *int, name string, fallback, low, high int, usage string) {
 	allowed := fmt.Sprintf("whole number from %d to %d", low, high)
@@ -164,20 +167,37 @@
 	return list
 }
 
-// Resolve assigns every setting. It returns ErrInvalid with a message that names the setting, its source and what is
-// allowed. lookup reads an environment variable, as os.LookupEnv does.
+// Resolve assigns every setting and checks the rules. It returns an InvalidError with one message for each setting that is
+// not allowed and each broken rule; a message names the setting, its source and what is allowed. lookup reads an environment
+// variable, as os.LookupEnv does.
 func (s *Set) Resolve(lookup func(string) (string, bool)) error {
+	var problems []string
 	for _, e := range s.entries {
-		value, source := e.fallback, "default"
-		if fromEnv, ok := lookup(EnvName(e.name)); ok {
-			value, source = fromEnv, "environment variable "+EnvName(e.name)
-		}
-		if e.flag != notGiven {
-			value, source = e.flag, "flag --"+e.name
-		}
-		if err := e.assign(value); err != nil {
-			return eris.Wrapf(ErrInvalid, "%s (from %s): %q %v; allowed: %s", e.name, source, value, err, e.allowed)
+		if problem := e.resolve(lookup); problem != "" {
+			problems = append(problems, problem)
 		}
 	}
-	return nil
+	if len(problems) == 0 {
+		problems = s.checkRules()
+	}
+	if len(problems) == 0 {
+		return nil
+	}
+	return &InvalidError{Problems: problems}
+}
+
+// resolve assigns the value and returns what is wrong with it, or an empty text.
+func (e *entry) resolve(lookup func(string) (string, bool)) string {
+	value := e.fallback
+	e.source = "default"
+	if fromEnv, ok := lookup(EnvName(e.name)); ok {
+		value, e.source = fromEnv, "environment variable "+EnvName(e.name)
+	}
+	if e.flag != notGiven {
+		value, e.source = e.flag, "flag --"+e.name
+	}
+	if err := e.assign(value); err != nil {
+		return fmt.Sprintf("%s (from %s): %q %v; allowed: %s", e.name, e.source, value, err, e.allowed)
+	}
+	return ""
 }
--- /dev/null
+++ b/internal/settings/text.go
@@ -0,0 +1,155 @@
+package settings
+
+import (
+	"net"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// List adds a setting with texts separated by commas.
+func (s *Set) List(target *[]string, name, fallback, usage string) {
+	s.list(target, name, fallback, usage, "texts separated by commas", nil)
+}
+
+// RequiredList adds a setting with at least one text.
+func (s *Set) RequiredList(target *[]string, name, usage string) {
+	s.list(target, name, "", usage, "at least one text, separated by commas", func(items []string) error {
+		if len(items) == 0 {
+			return eris.New("is not set")
+		}
+		return nil
+	})
+}
+
+// Addresses adds a setting with host:port addresses of other processes. A required one needs at least one.
+func (s *Set) Addresses(target *[]string, name, usage string, required bool) {
+	allowed := "host:port addresses separated by commas"
+	if required {
+		allowed = "at least one host:port address, separated by commas"
+	}
+	s.list(target, name, "", usage, allowed, func(items []string) error {
+		if required && len(items) == 0 {
+			return eris.New("is not set")
+		}
+		for _, item := range items {
+			if err := checkReachable(item); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// list adds a setting with texts that check accepts; nil accepts all.
+func (s *Set) list(target *[]string, name, fallback, usage, allowed string, check func([]string) error) {
+	s.Custom(name, fallback, usage, allowed, func(value string) error {
+		var items []string
+		for item := range strings.SplitSeq(value, ",") {
+			if item = strings.TrimSpace(item); item != "" {
+				items = append(items, item)
+			}
+		}
+		if check != nil {
+			if err := check(items); err != nil {
+				return err
+			}
+		}
+		*target = items
+		return nil
+	})
+}
+
+// ListenAddress adds the host:port on which the process listens; no host means all, port 0 a free one. Unless it is
+// required it may be empty.
+func (s *Set) ListenAddress(target *string, name, fallback, usage string, required bool) {
+	s.address(target, name, fallback, usage, required, checkAddress)
+}
+
+// Address adds the host:port of a process that others connect to. Unless it is required it may be empty.
+func (s *Set) Address(target *string, name, fallback, usage string, required bool) {
+	s.address(target, name, fallback, usage, required, checkReachable)
+}
+
+func (s *Set) address(target *string, name, fallback, usage string, required bool, check func(string) error) {
+	allowed := "host:port or empty"
+	if required {
+		allowed = "host:port"
+	}
+	s.Custom(name, fallback, usage, allowed, func(value string) error {
+		if value == "" && required {
+			return eris.New("is not set")
+		}
+		if value != "" {
+			if err := check(value); err != nil {
+				return err
+			}
+		}
+		*target = value
+		return nil
+	})
+}
+
+// Name adds a required setting whose text matches the pattern.
+func (s *Set) Name(target *string, name, usage string, pattern *regexp.Regexp, allowed string) {
+	s.Custom(name, "", usage, allowed, func(value string) error {
+		switch {
+		case value == "":
+			return eris.New("is not set")
+		case !pattern.MatchString(value):
+			return eris.New("is not such a name")
+		}
+		*target = value
+		return nil
+	})
+}
+
+const maxPort = 65535
+
+func checkAddress(value string) error {
+	_, port, err := net.SplitHostPort(value)
+	if err != nil {
+		return eris.New("is not host:port")
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > maxPort {
+		return eris.Errorf("has no port from 0 to %d", maxPort)
+	}
+	return nil
+}
+
+// checkReachable checks an address that another process can connect to.
+func checkReachable(value string) error {
+	if err := checkAddress(value); err != nil {
+		return err
+	}
+	host, port, _ := net.SplitHostPort(value)
+	if Unspecified(value) {
+		return eris.Errorf("names the host %q, to which nobody can connect", host)
+	}
+	if n, _ := strconv.Atoi(port); n == 0 {
+		return eris.New("has port 0, to which nobody can connect")
+	}
+	return nil
+}
+
+// Unspecified reports whether a host:port listens on all addresses of the host.
+func Unspecified(address string) bool {
+	host, _, _ := net.SplitHostPort(address)
+	ip := net.ParseIP(host)
+	return host == "" || ip != nil && ip.IsUnspecified()
+}
+
+// Loopback reports whether only processes of the same host reach a host:port.
+func Loopback(address string) bool {
+	host, _, _ := net.SplitHostPort(address)
+	ip := net.ParseIP(host)
+	return host == "localhost" || ip != nil && ip.IsLoopback()
+}
+
+// AnyPort reports whether a host:port leaves the port to the system.
+func AnyPort(address string) bool {
+	_, port, err := net.SplitHostPort(address)
+	return err == nil && port == "0"
+}
