Find links that are dead in one direction, and dead links within 3.5 s

A probe took any traffic for an answer, so a link on which only the way to the agent was dead passed it whenever the agent's own heartbeat fell into the 500 ms; a document then came after more than 4 s.

An agent whose links all died at once found that after 6 s. The shortest interval is 1.5 s and an unanswered ping is repeated after 1 s, so it takes 3.5 s; a shorter ping timeout was ruled out, since a busy process must be able to answer.

--- a/internal/link/heartbeat.go
+++ b/internal/link/heartbeat.go
@@ -5,7 +5,9 @@
 // Budget for heartbeats. A process with many links lengthens the interval, so that pings and pongs on idle links stay
 // within heartbeatShare of the control budget.
 const (
-	minHeartbeat   = 2 * time.Second
+	// minHeartbeat and the unanswered pings keep the time until a dead link of a small deployment is replaced below
+	// the 4 s in which a document is in force everywhere.
+	minHeartbeat   = 1500 * time.Millisecond
 	controlBudget  = 5_000 // bytes per second
 	heartbeatShare = 0.4
 	// heartbeatBytes is the largest size of one ping, one pong and the acknowledgement of the pong, with the headers of
@@ -14,7 +16,7 @@
 	// pingTimeout is the time in which a ping is answered, with room for a busy process. A link is silent when
 	// silentPings in a row had no answer. The time does not grow with the interval, so that an agent with a dead link
 	// comes back soon also in a large deployment.
-	pingTimeout      = 2 * time.Second
+	pingTimeout      = time.Second
 	silentPings      = 2
 	writeTimeout     = 10 * time.Second
 	handshakeTimeout = 5 * time.Second
--- a/internal/link/heartbeat_test.go
+++ b/internal/link/heartbeat_test.go
@@ -31,11 +31,11 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	round := len(ping) + maskedHeader + tcpAndIP + len(pong) + plainHeader + tcpAndIP + tcpAndIP
 	const budget = 0.4 * 5_000 // bytes per second
-	for _, links := range []int{1, 10, 17, 18, 100, 730, 800} {
+	for _, links := range []int{1, 10, 13, 14, 100, 730, 800} {
 		perSecond := float64(links*round) / link.HeartbeatInterval(links).Seconds()
 		g.Expect(perSecond).To(gomega.BeNumerically("<=", budget), "%d links", links)
 	}
-	g.Expect(link.HeartbeatInterval(17)).To(gomega.Equal(2 * time.Second))
+	g.Expect(link.HeartbeatInterval(13)).To(gomega.Equal(1500 * time.Millisecond))
 }
 
 // memoryConn is one end of a connection in memory. A muted end loses what is written to it.
@@ -121,7 +121,7 @@
 // is taken for silent although it is only idle.
 func TestIdleLinkCarriesOnePingPerInterval(t *testing.T) {
 	// With the shortest interval an answer is as old as the wait for it when the next ping is due.
-	for _, interval := range []time.Duration{2 * time.Second, 4 * time.Second} {
+	for _, interval := range []time.Duration{1500 * time.Millisecond, 4 * time.Second} {
 		checkIdleLink(t, interval)
 	}
 }
@@ -144,10 +144,10 @@
 func TestSilentIdleLinkIsClosedAfterTwoPings(t *testing.T) {
 	g := gomega.NewWithT(t)
 	fake := clock.NewFake(time.Unix(1_700_000_000, 0))
-	const interval, pings = 20 * time.Second, 4 * time.Second
+	const interval, pings = 20 * time.Second, 2 * time.Second
 	near, far, mute, _ := memoryLinks(t, fake, interval)
 	close(mute)
-	advance(fake, interval+pings-time.Second, interval/64)
+	advance(fake, interval+pings-time.Second/2, interval/64)
 	g.Expect(near.Cause()).To(gomega.BeNil())
 	g.Expect(far.Cause()).To(gomega.BeNil())
 	advance(fake, 2*time.Second, interval/64)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -57,6 +57,7 @@
 	lastReceived atomic.Int64 // nanoseconds since created, so that a step of the wall clock closes no link
 	received     atomic.Uint64
 	pingSequence atomic.Uint64
+	answered     atomic.Uint64 // highest sequence of the link's own pings that was answered
 
 	mu     sync.Mutex
 	queue  [][]byte
@@ -127,17 +128,20 @@
 	return nil
 }
 
-// Probe sends a ping at once and closes the link when nothing is received within the given time.
+// Probe sends a ping at once and closes the link when it is not answered within the given time. Other traffic is no
+// answer: a connection can be dead in one direction, and then the peer's own heartbeats still arrive.
 func (l *Link) Probe(within time.Duration) {
-	before := l.received.Load()
-	_ = l.ping() // with a full queue the messages in it take the place of the ping
+	sequence, err := l.ping()
+	if err != nil {
+		return // a full queue fails its sender, and a peer that reads nothing is found by the write timeout
+	}
 	timer := l.options.Clock.NewTimer(within)
 	go func() {
 		defer timer.Stop()
 		select {
 		case <-l.done:
 		case <-timer.C():
-			if l.received.Load() == before {
+			if l.answered.Load() < sequence {
 				l.options.Stats.Silent.Add(1)
 				l.Close(ErrSilent)
 			}
@@ -260,6 +264,10 @@
 	case *wire.Ping:
 		l.pong(m)
 	case *wire.Pong:
+		// Users of a link send pings of their own with sequences that the link never reaches.
+		if m.Sequence <= l.pingSequence.Load() {
+			l.answered.Store(max(l.answered.Load(), m.Sequence))
+		}
 		if l.peer.Dialled && m.HeartbeatMillis > 0 {
 			l.SetHeartbeat(time.Duration(m.HeartbeatMillis) * time.Millisecond)
 		}
@@ -290,7 +298,7 @@
 			l.Close(ErrSilent)
 			return
 		}
-		_ = l.ping()
+		_, _ = l.ping() // a ping that cannot be queued counts as unanswered
 		unanswered++
 		timer.Reset(pingTimeout)
 	}
@@ -304,9 +312,10 @@
 	return time.Duration(acceptorDelay * float64(interval))
 }
 
-func (l *Link) ping() error {
+func (l *Link) ping() (sequence uint64, err error) {
 	list, documents := l.versions()
-	return l.Send(&wire.Ping{Sequence: l.pingSequence.Add(1), ListVersion: list, DocumentDigest: documents})
+	sequence = l.pingSequence.Add(1)
+	return sequence, l.Send(&wire.Ping{Sequence: sequence, ListVersion: list, DocumentDigest: documents})
 }
 
 func (l *Link) pong(ping *wire.Ping) {
