--- a/internal/devcluster/devcluster_test.go
+++ b/internal/devcluster/devcluster_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/api"
@@ -22,17 +23,18 @@
 // client opens a connection for each request: a stopping server waits 5 s for spare connections that a client keeps.
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
-func start(t *testing.T) *devcluster.Cluster {
-	t.Helper()
+func TestDevcluster(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "a small deployment in one process")
+}
+
+func start() *devcluster.Cluster {
+	ginkgo.GinkgoHelper()
 	d, err := deployment.Load("wax")
-	if err != nil {
-		t.Fatal(err)
-	}
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	c, err := devcluster.Start(context.Background(), devcluster.Options{Deployment: d})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(c.Close)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(c.Close)
 	return c
 }
 
@@ -68,9 +70,8 @@
 }
 
 // Guards against a path that works in parts only, and against a resubmission at another entry that runs a task again.
-func TestResubmissionAtEveryEntryRunsOnce(t *testing.T) {
-	g := gomega.NewWithT(t)
-	c := start(t)
+var _ = ginkgo.It("runs a job once that is resubmitted at every entry", func() {
+	c := start()
 	key := uuid.Must(uuid.NewV7()).String()
 	var wait sync.WaitGroup
 	replies := make([]reply, 3*len(c.Entries))
@@ -84,21 +85,20 @@
 	}
 	wait.Wait()
 	for i, r := range replies {
-		g.Expect(errors[i]).NotTo(gomega.HaveOccurred())
-		g.Expect(r.status).To(gomega.Equal(http.StatusOK))
-		g.Expect(r.answer).To(gomega.Equal(replies[0].answer))
+		gomega.Expect(errors[i]).NotTo(gomega.HaveOccurred())
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(r.answer).To(gomega.Equal(replies[0].answer))
 	}
 	starts, err := c.Starts(context.Background())
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(starts.Started).To(gomega.BeEquivalentTo(3))
-	g.Expect(starts.StartedTwice).To(gomega.BeZero())
-}
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(starts.Started).To(gomega.BeEquivalentTo(3))
+	gomega.Expect(starts.StartedTwice).To(gomega.BeZero())
+})
 
 // Guards against a planned stop that cuts a request or makes its outcome unknown, and against answers that are lost with
 // the entry that stored them.
-func TestRollingRestartOfEntriesUnderLoad(t *testing.T) {
-	g := gomega.NewWithT(t)
-	c := start(t)
+var _ = ginkgo.It("restarts entries one after another under load and keeps every answer", func() {
+	c := start()
 	urls := c.CallerURLs()
 	last := urls[len(urls)-1]
 	stop := make(chan struct{})
@@ -135,45 +135,44 @@
 		e.Stop()
 		<-e.Ended
 		_, err := c.StartEntry(e.Options.ID, e.Options.DataCentre)
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		time.Sleep(300 * time.Millisecond)
 	}
 	close(stop)
 	wait.Wait()
-	g.Expect(failures).To(gomega.BeEmpty())
-	g.Expect(len(answers)).To(gomega.BeNumerically(">", 50))
+	gomega.Expect(failures).To(gomega.BeEmpty())
+	gomega.Expect(len(answers)).To(gomega.BeNumerically(">", 50))
 	for key, answer := range answers {
 		r, err := submit(last, key, 30, 60)
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(r.answer).To(gomega.Equal(answer))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(r.answer).To(gomega.Equal(answer))
 	}
 	starts, err := c.Starts(context.Background())
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(starts.Started).To(gomega.BeEquivalentTo(2 * len(answers)))
-	g.Expect(starts.StartedTwice).To(gomega.BeZero())
-}
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(starts.Started).To(gomega.BeEquivalentTo(2 * len(answers)))
+	gomega.Expect(starts.StartedTwice).To(gomega.BeZero())
+})
 
 // Guards against a resubmission of a single request that is refused as a conflict because its client adds a new trace
 // header each time, and against another body that is not.
-func TestSingleRequestIsTheSameWithOtherTraceHeaders(t *testing.T) {
-	g := gomega.NewWithT(t)
-	c := start(t)
+var _ = ginkgo.It("takes a single request with other trace headers for the same", func() {
+	c := start()
 	key := uuid.Must(uuid.NewV7()).String()
 	send := func(entry int, trace, body string) int {
 		url := c.CallerURLs()[entry] + "/v1/services/bench/requests/hot-wax"
 		request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		request.Header.Set(api.HeaderKey, key)
 		request.Header.Set("Traceparent", trace)
 		response, err := client.Do(request)
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		defer response.Body.Close()
 		return response.StatusCode
 	}
-	g.Expect(send(0, "first", `{"work_ms":5}`)).To(gomega.Equal(http.StatusOK))
-	g.Expect(send(1, "second", `{"work_ms":5}`)).To(gomega.Equal(http.StatusOK))
-	g.Expect(send(2, "third", `{"work_ms":6}`)).To(gomega.Equal(http.StatusConflict))
+	gomega.Expect(send(0, "first", `{"work_ms":5}`)).To(gomega.Equal(http.StatusOK))
+	gomega.Expect(send(1, "second", `{"work_ms":5}`)).To(gomega.Equal(http.StatusOK))
+	gomega.Expect(send(2, "third", `{"work_ms":6}`)).To(gomega.Equal(http.StatusConflict))
 	starts, err := c.Starts(context.Background())
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(starts.Started).To(gomega.BeEquivalentTo(1))
-}
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(starts.Started).To(gomega.BeEquivalentTo(1))
+})
