--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -18,11 +18,11 @@
 
 var lastPort atomic.Int32
 
-// freeAddress returns an address that nothing listens on. It is not tried out: a process that another test forks at that
-// moment holds the trial listener open until it executes its program, and the address would be in use.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	return fmt.Sprintf("%s:%d", host, 20000+lastPort.Add(1))
+// freeAddress returns an address that this run has not used. It is not tried out: a process that is being forked at that
+// moment would inherit the listener and keep the port busy.
+func freeAddress() string {
+	const firstPort = 20000
+	return fmt.Sprintf("%s:%d", host, firstPort+lastPort.Add(1))
 }
 
 // process is one process of the program. It is ended at the end of the test.
