Ask agents for records of a lost entry when their link is taken into use

The table returned the questions to a newly connected agent before Welcome, when the entry had no session for it, so they were dropped and never repeated.

The table returns them once more when the link is in use. Moving AgentConnected behind Welcome was ruled out: the other entries have to learn of an agent before it can get a start.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -60,6 +60,7 @@
 	c.queryAttempts(s)
 	c.offerAgent(s)
 	c.sendDocuments(l, hello.Services, hello.DocumentRevisions)
+	c.perform(c.table.AgentAttached(s.ref()))
 	c.log.WithField("agent", s.id).Info("entry: agent connected")
 }
 
--- a/internal/submission/agents.go
+++ b/internal/submission/agents.go
@@ -25,6 +25,16 @@
 	}
 }
 
+// AgentAttached returns the questions to an agent whose new link is now in use. Those that AgentConnected returned could
+// not be sent on it, because it was not in use before Welcome.
+func (t *Table) AgentAttached(ref AgentRef) Actions {
+	a := t.roster.agents[ref]
+	if a == nil || !a.connected {
+		return Actions{}
+	}
+	return Actions{Collect: t.collectFrom(a)}
+}
+
 // AgentDisconnected notes that the link of an agent is gone and that the agent did not say that it is leaving.
 func (t *Table) AgentDisconnected(now time.Time, ref AgentRef) Actions {
 	a := t.roster.agents[ref]
