--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -3,19 +3,14 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
-	"slices"
 	"syscall"
 
-	"github.com/apex/log"
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/logging"
 	"github.com/coltsfootspur/coltsfootspur/internal/settings"
 )
 
@@ -67,17 +62,6 @@
 	return g
 }
 
-// logSettings are the settings of the log, which every long-running subcommand has.
-type logSettings struct{ level, format string }
-
-func (l *logSettings) register(set *settings.Set) {
-	set.Choice(&l.level, "log-level", "info", "least severe level that is logged", "debug", "info", "warn", "error")
-	set.Choice(&l.format, "log-format", logging.FormatLogfmt, "format of the log",
-		logging.FormatText, logging.FormatLogfmt, logging.FormatJSON)
-}
-
-func (l *logSettings) logger(w io.Writer) *log.Logger { return logging.New(w, l.level, l.format) }
-
 // Main runs the program and returns its exit code.
 func Main(args []string) int {
 	ctx, stop := stopContext(context.Background())
@@ -117,83 +101,6 @@
 	return command.execute(ctx, std, lookup)
 }
 
-// newParser returns a parser that never ends the process itself, and all subcommands including those of groups.
-func newParser(commands []*subcommand, groups []*group) (*flaggy.Parser, []*subcommand) {
-	parser := flaggy.NewParser(programName)
-	parser.Description = "dispatcher for tasks of less than a second"
-	parser.Version = Version
-	parser.ShowHelpOnUnexpected = false
-	parser.ShowHelpWithHFlag = false
-	parser.ShowVersionWithVersionFlag = false
-	parser.ShowCompletion = false
-	for _, c := range commands {
-		parser.AttachSubcommand(c.flags, 1)
-	}
-	for _, g := range groups {
-		parser.AttachSubcommand(g.flags, 1)
-	}
-	return parser, withMembers(commands, groups)
-}
-
-// withMembers returns the subcommands together with those of the groups.
-func withMembers(commands []*subcommand, groups []*group) []*subcommand {
-	all := slices.Clone(commands)
-	for _, g := range groups {
-		all = append(all, g.members...)
-	}
-	return all
-}
-
-func commandOf(commands []*subcommand, selected *selection) *subcommand {
-	for _, c := range commands {
-		if c.flags == selected.last() {
-			return c
-		}
-	}
-	return nil
-}
-
-// inform shows the help or the version.
-func inform(std streams, selected *selection, command *subcommand) int {
-	if !selected.help {
-		fmt.Fprintln(std.out, versionText())
-		return ExitOK
-	}
-	var described []settings.Description
-	if command != nil {
-		described = command.settings.Describe()
-	}
-	if err := writeHelp(std.out, selected, described); err != nil {
-		return reportError(std, err, ExitFailure)
-	}
-	return ExitOK
-}
-
-// reportUsage reports a command line that is not understood and where help is found.
-func reportUsage(std streams, selected *selection, err error) int {
-	code := reportError(std, err, ExitUsage)
-	fmt.Fprintf(std.err, "Run %q for help.\n", selected.name()+" --help")
-	return code
-}
-
-// reportError reports an error and returns the exit code.
-func reportError(std streams, err error, code int) int {
-	fmt.Fprintf(std.err, "%s: %s\n", programName, eris.ToString(err, false))
-	return code
-}
-
-// reportSettings reports every setting that is not allowed.
-func reportSettings(std streams, err error) int {
-	var invalid *settings.InvalidError
-	if !errors.As(err, &invalid) {
-		return reportError(std, err, ExitUsage)
-	}
-	for _, problem := range invalid.Problems {
-		fmt.Fprintf(std.err, "%s: setting %s\n", programName, problem)
-	}
-	return ExitUsage
-}
-
 func (c *subcommand) execute(ctx context.Context, std streams, lookup func(string) (string, bool)) int {
 	if err := c.settings.Resolve(lookup); err != nil {
 		return reportSettings(std, err)
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -28,7 +28,7 @@
 	set.String(&s.deployment, "deployment", "wax", "name of an embedded deployment (wax, mkeka) or path of a file", true)
 	set.Duration(&s.duration, "duration", 0, 0, maxRunDuration, "time for which load is driven; 0 stays up without load")
 	set.Int(&s.seed, "seed", 1, 0, 1<<31-1, "seed of the load")
-	factor(set, &s.scale, "demand", "factor by which the demand of the deployment is multiplied")
+	set.Factor(&s.scale, "demand", "factor by which the demand of the deployment is multiplied")
 	set.Bool(&s.json, "json", false, "print the result as one line of JSON and not indented")
 	set.Bool(&s.verbose, "verbose", false, "print the logs of all processes")
 	s.log.register(set)
--- a/internal/command/help.go
+++ b/internal/command/help.go
@@ -11,6 +11,22 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/settings"
 )
 
+// inform shows the help or the version.
+func inform(std streams, selected *selection, command *subcommand) int {
+	if !selected.help {
+		fmt.Fprintln(std.out, versionText())
+		return ExitOK
+	}
+	var described []settings.Description
+	if command != nil {
+		described = command.settings.Describe()
+	}
+	if err := writeHelp(std.out, selected, described); err != nil {
+		return reportError(std, err, ExitFailure)
+	}
+	return ExitOK
+}
+
 // writeHelp writes the help of the selected subcommand. described are the settings of it; nil for the root and for groups.
 func writeHelp(w io.Writer, selected *selection, described []settings.Description) error {
 	var text strings.Builder
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/deployment"
 	"github.com/coltsfootspur/coltsfootspur/internal/loadgen"
@@ -20,7 +17,6 @@
 const (
 	maxLoadDuration = 24 * time.Hour
 	maxLoadDelay    = 10 * time.Second
-	maxDemandScale  = 100
 	maxInFlight     = 1 << 17
 	maxConnections  = 1 << 15
 )
@@ -45,8 +41,7 @@
 	set.Duration(&c.Grace, "grace", loadgen.DefaultGrace, 100*time.Millisecond, time.Minute,
 		"how long after its deadline a job waits for an answer before it counts as lost")
 	set.Int(&s.seed, "seed", 1, 0, math.MaxInt, "seed of arrivals, sizes, run times, resubmissions and cancellations; without unit")
-	set.Custom("demand", "1", "factor by which the demand of the deployment is multiplied",
-		fmt.Sprintf("number above 0, at most %d", maxDemandScale), s.parseDemand)
+	set.Factor(&c.DemandScale, "demand", "factor by which the demand of the deployment is multiplied")
 	set.Duration(&c.ClientDelay, "client-delay", 0, 0, maxLoadDelay,
 		"one-way delay to callers that the network does not have itself; added to response times and ideals")
 	set.Duration(&c.RoundTrip, "round-trip", 0, 0, maxLoadDelay, "round trips of the ideal path in the network; added to ideals")
@@ -60,15 +55,6 @@
 	s.log.register(set)
 }
 
-func (s *loadSettings) parseDemand(value string) error {
-	n, err := strconv.ParseFloat(value, 64)
-	if err != nil || !(n > 0 && n <= maxDemandScale) {
-		return eris.New("is out of range")
-	}
-	s.config.DemandScale = n
-	return nil
-}
-
 // build returns the configuration of the run.
 func (s *loadSettings) build() (loadgen.Config, error) {
 	d, err := deployment.Load(s.deployment)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -107,6 +107,22 @@
 	})
 }
 
+// maxFactor bounds a factor.
+const maxFactor = 1000
+
+// Factor adds a positive number by which something is multiplied. Its default is 1.
+func (s *Set) Factor(target *float64, name, usage string) {
+	allowed := fmt.Sprintf("number above 0, at most %d", maxFactor)
+	s.Custom(name, "1", usage, allowed, func(value string) error {
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(n > 0 && n <= maxFactor) {
+			return eris.New("is out of range")
+		}
+		*target = n
+		return nil
+	})
+}
+
 // Duration adds a duration between low and high.
 func (s *Set) Duration(target *time.Duration, name string, fallback, low, high time.Duration, usage string) {
 	allowed := fmt.Sprintf("duration from %s to %s", low, high)
