Forward to the run of an entry that holds the key, and separate small deployments

A request for a key that another entry holds could go to a later run of that entry, which answers that it does not know the key; the home would then run it. Only a link to the same incarnation is used now.

Two deployments of dev shared a link token, so a process that dialled an address which another deployment had got meanwhile linked to it. The token is drawn for each deployment.

--- a/internal/command/operation_test.go
+++ b/internal/command/operation_test.go
@@ -37,7 +37,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	a, err := cluster.StartAgent(agent.Options{
 		ID: "extra", DataCentre: d.Workers[0].DataCentre, Services: []string{d.Services[0].Name},
-		Entries: []string{cluster.Entries[0].LinkAddress()}, Upstream: target, LinkToken: devcluster.LinkToken,
+		Entries: []string{cluster.Entries[0].LinkAddress()}, Upstream: target, LinkToken: cluster.LinkToken,
 		AdminAddress: "127.0.0.1:0", AdminToken: devcluster.OperatorToken, Log: cluster.Agents[0].Options.Log,
 	})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/agent"
@@ -25,11 +26,8 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/standin/upstream"
 )
 
-// Tokens of the small deployment. It listens on loopback only.
-const (
-	LinkToken     = "dev-link"
-	OperatorToken = "dev-operator"
-)
+// OperatorToken is the token of the operator endpoints. The deployment listens on loopback only.
+const OperatorToken = "dev-operator"
 
 // ErrStart is returned when a part of the deployment cannot be started.
 var ErrStart = eris.New("deployment cannot be started")
@@ -52,6 +50,9 @@
 	log     log.Interface
 	ledger  *upstream.Ledger
 
+	// LinkToken differs between two deployments, so that a process that dials an address which another deployment got
+	// meanwhile is refused.
+	LinkToken string
 	Store     *standinplatform.Server
 	Entries   []*Entry
 	Upstreams []*upstream.Server
@@ -86,6 +87,7 @@
 	}
 	c := &Cluster{
 		options: options, log: options.Log, ledger: upstream.NewLedger(), dataCentres: make(map[string]string),
+		LinkToken: uuid.NewString(),
 	}
 	ctx, c.stop = context.WithCancel(ctx)
 	if err := c.start(ctx); err != nil {
@@ -148,7 +150,7 @@
 	o := entry.Options{
 		ID: id, DataCentre: dataCentre, Region: c.options.Deployment.Region,
 		CallerAddress: "127.0.0.1:0", LinkAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0",
-		LinkToken: LinkToken, OperatorToken: OperatorToken, Store: store, Dialer: c.dialer(dataCentre),
+		LinkToken: c.LinkToken, OperatorToken: OperatorToken, Store: store, Dialer: c.dialer(dataCentre),
 		Log: c.log, ReadinessDelay: 50 * time.Millisecond,
 	}
 	if c.options.EntryOptions != nil {
@@ -171,7 +173,7 @@
 // dialer delays the links between data centres.
 func (c *Cluster) dialer(from string) link.Dialer {
 	return delayedDialer{
-		dialer: link.WebSocketDialer{Token: LinkToken},
+		dialer: link.WebSocketDialer{Token: c.LinkToken},
 		delay: func(address string) time.Duration {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -210,7 +212,7 @@
 	}
 	_, err = c.StartAgent(agent.Options{
 		ID: w.ID, DataCentre: w.DataCentre, Region: c.options.Deployment.Region, Services: []string{w.Service},
-		Entries: c.linkAddresses(), Upstream: target, LinkToken: LinkToken, Slots: w.Slots, Connections: w.Connections,
+		Entries: c.linkAddresses(), Upstream: target, LinkToken: c.LinkToken, Slots: w.Slots, Connections: w.Connections,
 		MemoryMB: uint32(w.MemoryGB) << 10, Log: c.log, Dialer: c.dialer(w.DataCentre),
 	})
 	return err
--- a/internal/devcluster/devcluster_test.go
+++ b/internal/devcluster/devcluster_test.go
@@ -149,6 +149,7 @@
 	}
 	starts, err := c.Starts(context.Background())
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(starts.StartedTwice).To(gomega.BeZero())
 	gomega.Expect(starts.Started).To(gomega.BeEquivalentTo(2 * len(answers)))
 	gomega.Expect(starts.StartedTwice).To(gomega.BeZero())
 })
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -46,8 +46,8 @@
 
 func (c *control) sendForward(f *forward) {
 	p := c.peers[f.target.ID]
-	if p == nil || p.link == nil {
-		return
+	if p == nil || p.link == nil || p.incarnation != f.target.Incarnation {
+		return // a later run of the entry would answer that it does not hold the key
 	}
 	job := f.job
 	job.BudgetMillis = uint32(max(f.deadline.Sub(c.now).Milliseconds(), 1))
