--- a/internal/command/operation_test.go
+++ b/internal/command/operation_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
@@ -24,6 +25,9 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/devcluster"
 )
 
+// extraDocument is the document of a service that only the agent with operator endpoints serves, so that it gets work.
+const extraDocument = "service: extra\nteam: workshop\nkinds:\n  - name: edge-check\n    deadline: 20s\n"
+
 // operated is a deployment under load with one agent that has operator endpoints.
 func operated(t *testing.T) (cluster *devcluster.Cluster, agentAddress string) {
 	t.Helper()
@@ -33,10 +37,14 @@
 	cluster, err = devcluster.Start(context.Background(), devcluster.Options{Deployment: d})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(cluster.Close)
+	file := filepath.Join(t.TempDir(), "extra.yaml")
+	g.Expect(os.WriteFile(file, []byte(extraDocument), 0o600)).To(gomega.Succeed())
+	code, _, errors := tool("service", "put", file, "--expect-revision", "0", "--store", cluster.Store.URL())
+	g.Expect(code).To(gomega.Equal(ExitOK), errors)
 	target, err := url.Parse(cluster.Upstreams[0].URL())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	a, err := cluster.StartAgent(agent.Options{
-		ID: "extra", DataCentre: d.Workers[0].DataCentre, Services: []string{d.Services[0].Name},
+		ID: "extra", DataCentre: d.Workers[0].DataCentre, Services: []string{"extra"},
 		Entries: []string{cluster.Entries[0].LinkAddress()}, Upstream: target, LinkToken: devcluster.LinkToken,
 		AdminAddress: "127.0.0.1:0", AdminToken: devcluster.OperatorToken, Log: cluster.Agents[0].Options.Log,
 	})
@@ -45,6 +53,7 @@
 	var callers sync.WaitGroup
 	for _, base := range cluster.CallerURLs() {
 		callers.Go(func() { call(t, base+"/v1/services/bench/requests/edge-check", stop) })
+		callers.Go(func() { call(t, base+"/v1/services/extra/requests/edge-check", stop) })
 	}
 	t.Cleanup(callers.Wait)
 	t.Cleanup(func() { close(stop) })
@@ -123,7 +132,7 @@
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(extra["starts"]).To(gomega.BeNumerically(">", 0))
 		g.Expect(extra["start_records"]).To(gomega.HaveKeyWithValue("all", gomega.BeNumerically(">", 0)))
-		g.Expect(extra["services"]).To(gomega.HaveKeyWithValue("bench", gomega.HaveKeyWithValue("revision", gomega.BeNumerically("==", 1))))
+		g.Expect(extra["services"]).To(gomega.HaveKeyWithValue("extra", gomega.HaveKeyWithValue("revision", gomega.BeNumerically("==", 1))))
 	}, 10*time.Second, 50*time.Millisecond).Should(gomega.Succeed())
 
 	page := operatorsPage(g)
@@ -165,7 +174,7 @@
 	cluster, agentAddress := operated(t)
 	for address, parts := range map[string][]string{
 		cluster.Entries[0].AdminAddress(): {"takes work   yes", "entry-01 in ", "SERVICE", "AGENT", "connected"},
-		agentAddress:                      {"extra", "reachable", "bench", "linked"},
+		agentAddress:                      {"extra", "reachable", "extra    1", "linked"},
 	} {
 		g.Eventually(func(g gomega.Gomega) {
 			code, out, errors := tool("status", "--admin-address", address, "--admin-token", devcluster.OperatorToken)
