Drop open tasks of recovered keys when their agent refused them

A home that takes over the keys of an expelled entry asks the agents for their records. A task that was queued at that time was kept like one that had started, without a note of who listed it. When the agent refused the attempt later, its next answer did not list the task, and nothing removed it: the key was refused as recovering for 65 s and then as upstream_lost until the record expired, although nothing had started.

Open tasks are now tied to the run of the agent and to the departed entry under which it listed them. A whole later answer of the same run about the same entry that does not list the task drops it, and the key if nothing else is known about it. Tasks that ended are never dropped this way.

What an answer proves: - An agent sends answers concurrently, so their parts can be mixed. Answers and parts are numbered; parts with a gap count for nothing. - An agent forgets a record after the window, and a retry of another home can replace one. If the record was collected before it was over, later answers set Expired and drop nothing. A bound by time at the entry was considered instead; a paused process breaks it. - An answer lists only keys that belong to the asker under the list of the question. Within a round an entry only loses keys, so keys that are still its own are covered, and the others are left alone. - Another run of the agent tells nothing about the former one.

An agent whose open tasks were asked for again when its link broke is asked on the new link; before, the question was lost.

The model of TestInterleavings now sends each key in a part of its own and refuses queued attempts.

--- a/internal/agent/records/admit.go
+++ b/internal/agent/records/admit.go
@@ -124,6 +124,7 @@
 // supersede keeps the record of a former attempt for queries of that attempt only.
 func (t *Table) supersede(r *record) {
 	r.superseded = true
+	t.omitCollected(r)
 	delete(t.byTask, r.id)
 	t.unlink(r)
 }
--- a/internal/agent/records/collect.go
+++ b/internal/agent/records/collect.go
@@ -20,6 +20,9 @@
 // Collect adopts the asker's list, which fences the expelled entry, and returns the records of that entry that now
 // belong to the asker, in parts; Last is set in the final one. The records of one key can be spread over parts.
 //
+// Because of the fencing, later answers under the same list leave out a record only if its attempt was refused, unless
+// Expired is set.
+//
 // If the agent has a newer list than the asker, it returns that list in place of records: what belongs to the asker
 // under the newer list may be less than the asker expects. The asker adopts the list and asks again. It returns
 // neither when the asker is no active member.
@@ -33,13 +36,18 @@
 	if !ok || member.State != wire.MemberActive {
 		return nil, nil
 	}
+	t.answers++
+	_, expired := t.expired[c.ExpelledIncarnation]
 	w := partWriter{template: wire.Records{
 		Expelled:            c.Expelled,
 		ExpelledIncarnation: c.ExpelledIncarnation,
 		ListVersion:         t.list.Version,
+		Answer:              t.answers,
+		Expired:             expired,
 	}}
 	for r := t.byHome[c.ExpelledIncarnation]; r != nil; r = r.next {
 		if placement.MayBeHome(t.list, member, r.id.key) {
+			r.collected = r.collected || !r.over()
 			w.add(r)
 		}
 	}
@@ -79,6 +87,7 @@
 
 func (w *partWriter) open() {
 	part := w.template
+	part.Part = uint16(len(w.parts))
 	w.parts = append(w.parts, &part)
 	w.index = make(map[jobID]int)
 	w.bytes = 0
--- a/internal/agent/records/forget.go
+++ b/internal/agent/records/forget.go
@@ -1,6 +1,7 @@
 package records
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -59,6 +60,23 @@
 	}
 }
 
+// omitCollected notes that later answers to Collect do not list r any more, although its task may have started.
+func (t *Table) omitCollected(r *record) {
+	if r.collected {
+		t.expired[r.ref.HomeIncarnation] = struct{}{}
+	}
+}
+
+// pruneExpired forgets the homes that no entry asks for any more, because they are no longer among the departed ones.
+func (t *Table) pruneExpired() {
+	for home := range t.expired {
+		departed := slices.ContainsFunc(t.list.Departed, func(d wire.Departed) bool { return d.Incarnation == home })
+		if !departed {
+			delete(t.expired, home)
+		}
+	}
+}
+
 func (t *Table) expireFloors(now time.Time) {
 	for home, f := range t.floors {
 		if !now.Before(f.expires) {
--- a/internal/agent/records/progress.go
+++ b/internal/agent/records/progress.go
@@ -54,19 +54,26 @@
 	}
 	t.forget(r)
 	r.state = wire.AttemptRefused
-	t.restore(r.former)
+	t.restore(r)
 	why := refusal{reason: reason}
 	t.refuse(now, ref, why)
 	return t.refusalResult(ref, why)
 }
 
-// restore makes the record of a former attempt count again after its retry did not start. Without it a task that
+// restore makes the record of the former attempt count again after its retry did not start. Without it a task that
 // ran once could start again.
-func (t *Table) restore(former *record) {
-	if former == nil || t.byAttempt[former.ref] != former {
+func (t *Table) restore(retry *record) {
+	former := retry.former
+	if former == nil {
 		return
 	}
-	t.enter(former)
+	kept := t.byAttempt[former.ref] == former
+	if kept {
+		t.enter(former)
+	}
+	if !kept || former.ref.HomeIncarnation != retry.ref.HomeIncarnation {
+		t.omitCollected(retry)
+	}
 }
 
 // Cancel refuses the attempts that have not started. It returns a Result for each attempt that was waiting in the
@@ -141,6 +148,7 @@
 	for t.finished.len() > 0 && !now.Before(t.finished.front().expires) {
 		r := t.finished.pop()
 		t.forgotten[r.ref.HomeIncarnation] = max(t.forgotten[r.ref.HomeIncarnation], r.ref.Attempt)
+		t.omitCollected(r)
 		t.forget(r)
 	}
 	for t.refusals.len() > 0 && !now.Before(t.refusals.front().expires) {
--- a/internal/agent/records/records.go
+++ b/internal/agent/records/records.go
@@ -92,6 +92,8 @@
 	expires time.Time
 	// prev and next link the keyed records of one home.
 	prev, next *record
+	// collected is set when an answer to Collect listed the record before it was over.
+	collected bool
 	// superseded is set when a retry of the same task replaced the record; former points back from that retry while
 	// it is open.
 	superseded bool
@@ -133,6 +135,11 @@
 	// forgotten has, for each home incarnation, the highest attempt whose record has expired. An attempt up to it that
 	// has no record may have been started.
 	forgotten map[uint64]uint64
+	// answers counts the answers to Collect.
+	answers uint64
+	// expired has the departed home incarnations for which a record is missing from later answers to Collect that was
+	// collected before it was over, although its task may have started.
+	expired map[uint64]struct{}
 }
 
 // floor replaces refusals that were forgotten for lack of space.
@@ -151,6 +158,7 @@
 		refused:   make(map[Ref]refusal),
 		floors:    make(map[uint64]floor),
 		forgotten: make(map[uint64]uint64),
+		expired:   make(map[uint64]struct{}),
 	}
 }
 
@@ -159,10 +167,14 @@
 func (t *Table) Adopt(list *wire.EntryList) bool {
 	var adopted bool
 	t.list, adopted = placement.Newer(t.list, list)
-	if adopted && len(t.forgotten) > maxForgotten {
+	if !adopted {
+		return false
+	}
+	if len(t.forgotten) > maxForgotten {
 		t.pruneForgotten()
 	}
-	return adopted
+	t.pruneExpired()
+	return true
 }
 
 // List returns the highest list that was adopted; nil before the first. It must not be changed.
--- a/internal/agent/records/records_test.go
+++ b/internal/agent/records/records_test.go
@@ -203,6 +203,8 @@
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(len(frame)).To(gomega.BeNumerically("<", 4<<20))
 		g.Expect(part.Last).To(gomega.Equal(i == len(parts)-1))
+		g.Expect(part.Part).To(gomega.BeEquivalentTo(i))
+		g.Expect(part.Answer).To(gomega.Equal(parts[0].Answer))
 		for _, k := range part.Keys {
 			tasks[k.Key] += len(k.Done)
 		}
@@ -215,3 +217,73 @@
 	g.Expect(parts).To(gomega.BeEmpty())
 	g.Expect(newer.Version).To(gomega.Equal(uint64(3)))
 }
+
+// Guards against a task that started after it was collected and whose record is gone since: the answer must not look as
+// if the attempt had been refused.
+func TestCollectTellsOfExpiredRecords(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := records.New(records.Config{Retention: retention})
+	members := list(2, "b")
+	members.Departed = []wire.Departed{{ID: "a", Incarnation: incarnation("a"), AtVersion: 2}}
+	collect := func(now time.Time) *wire.Records {
+		parts, _ := table.Collect(now, &wire.Collect{List: members, Expelled: "a", ExpelledIncarnation: incarnation("a")}, "b", incarnation("b"))
+		g.Expect(parts).To(gomega.HaveLen(1))
+		return parts[0]
+	}
+	finish(g, table, start("a", 1, 1, 1, 0), "before")
+	ends, refused := start("a", 1, 2, 2, 0), start("a", 1, 3, 3, 0)
+	table.Admit(epoch, ends, wire.RefusedNone)
+	table.Admit(epoch, refused, wire.RefusedNone)
+	first := collect(epoch)
+	g.Expect(first.Keys).To(gomega.HaveLen(3))
+	table.Refuse(epoch, records.RefOf(refused), wire.RefusedExpired)
+	table.Running(records.RefOf(ends))
+	second := epoch.Add(time.Second)
+	table.Finish(second, records.RefOf(ends), done(2, "after"))
+
+	expiry := epoch.Add(retention + wire.MaxDeadline + 5*time.Second)
+	one := collect(expiry)
+	g.Expect(one.Keys).To(gomega.HaveLen(1))
+	g.Expect(one.Expired).To(gomega.BeFalse(), "a refused attempt, and a record that was over when it was collected")
+	g.Expect(one.Answer).To(gomega.BeNumerically(">", first.Answer))
+	none := collect(expiry.Add(time.Second))
+	g.Expect(none.Keys).To(gomega.BeEmpty())
+	g.Expect(none.Expired).To(gomega.BeTrue())
+	members = list(3, "b")
+	g.Expect(collect(expiry).Expired).To(gomega.BeFalse(), "the entry is no longer among the departed ones")
+}
+
+// Guards against a start that is missing from an answer because a retry of another home replaced its record, or because
+// that retry was collected and then refused.
+func TestCollectTellsOfRetriesOfAnotherHome(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := records.New(records.Config{Retention: retention})
+	finish(g, table, start("a", 1, 1, 1, 0), "first")
+	retry := start("c", 1, 2, 1, 0)
+	retry.Retry, retry.Idempotent = true, true
+	table.Admit(epoch, retry, wire.RefusedNone)
+	runs := start("a", 1, 2, 2, 0)
+	table.Admit(epoch, runs, wire.RefusedNone)
+	members := list(2, "b")
+	members.Departed = []wire.Departed{{ID: "a", Incarnation: incarnation("a")}, {ID: "c", Incarnation: incarnation("c")}}
+	collect := func(home string) *wire.Records {
+		parts, _ := table.Collect(epoch, &wire.Collect{List: members, ExpelledIncarnation: incarnation(home)}, "b", incarnation("b"))
+		return parts[0]
+	}
+	g.Expect(collect("c").Keys).To(gomega.HaveLen(1))
+	table.Refuse(epoch, records.RefOf(retry), wire.RefusedExpired)
+	refused := collect("c")
+	g.Expect(refused.Keys).To(gomega.BeEmpty())
+	g.Expect(refused.Expired).To(gomega.BeTrue())
+
+	listed := collect("a")
+	g.Expect(listed.Keys).To(gomega.HaveLen(2))
+	g.Expect(listed.Expired).To(gomega.BeFalse())
+	table.Finish(epoch, records.RefOf(runs), done(2, "x"))
+	again := start("b", 2, 1, 2, 0)
+	again.Retry, again.Idempotent = true, true
+	g.Expect(table.Admit(epoch, again, wire.RefusedNone).Verdict).To(gomega.Equal(records.Run))
+	replaced := collect("a")
+	g.Expect(replaced.Keys).To(gomega.HaveLen(1))
+	g.Expect(replaced.Expired).To(gomega.BeTrue())
+}
--- a/internal/submission/collect.go
+++ b/internal/submission/collect.go
@@ -37,7 +37,7 @@
 	return false
 }
 
-// collectAll returns the questions to every agent with a link that has not answered.
+// collectAll returns the questions to every agent with a link that has not answered, or whose answer listed open tasks.
 func (t *Table) collectAll(now time.Time) []CollectFrom {
 	t.roster.expire(now)
 	var all []CollectFrom
@@ -55,7 +55,8 @@
 	}
 	var all []CollectFrom
 	for _, d := range t.sources() {
-		if _, ok := t.round.answered[d.Incarnation][a.ref]; !ok {
+		_, answered := t.round.answered[d.Incarnation][a.ref]
+		if !answered || len(t.recovered.open[reporter{a.ref, d.Incarnation}]) > 0 {
 			all = append(all, t.question(a.ref, d))
 		}
 	}
@@ -85,14 +86,14 @@
 	return t.verdict(now).agents
 }
 
-// reaskLater plans another question to an agent that reported tasks without a result.
-func (t *Table) reaskLater(now time.Time, ref AgentRef, expelled uint64) {
+// reaskLater plans another question to an agent. If its link is lost meanwhile, AgentConnected asks.
+func (t *Table) reaskLater(now time.Time, source reporter) {
 	for _, r := range t.round.reasks {
-		if r.agent == ref && r.expelled == expelled {
+		if r.source == source {
 			return
 		}
 	}
-	t.round.reasks = append(t.round.reasks, reask{ref, expelled, now.Add(reaskInterval)})
+	t.round.reasks = append(t.round.reasks, reask{source, now.Add(reaskInterval)})
 }
 
 // Tick returns the questions that are due. Call it at the time that Wake returns, or about once a second.
@@ -104,13 +105,13 @@
 	for n < len(t.round.reasks) && !t.round.reasks[n].at.After(now) {
 		r := t.round.reasks[n]
 		n++
-		a := t.roster.agents[r.agent]
+		a := t.roster.agents[r.source.agent]
 		if a == nil || !a.connected {
 			continue
 		}
 		for _, d := range t.sources() {
-			if d.Incarnation == r.expelled {
-				actions.Collect = append(actions.Collect, t.question(r.agent, d))
+			if d.Incarnation == r.source.departed {
+				actions.Collect = append(actions.Collect, t.question(r.source.agent, d))
 			}
 		}
 	}
--- a/internal/submission/interleaving_test.go
+++ b/internal/submission/interleaving_test.go
@@ -114,7 +114,7 @@
 		}
 	}
 	if len(busy) > 0 {
-		w.advance(pick(w, busy, "agent"), w.draw(16, "lost") == 0)
+		w.advance(pick(w, busy, "agent"), w.draw(16, "fails") == 0)
 	}
 }
 
--- a/internal/submission/recovered.go
+++ b/internal/submission/recovered.go
@@ -9,29 +9,49 @@
 // recoveredKey is what the agents recorded about a key of an expelled entry. It stays here until every task has a
 // recorded answer; then the whole answer becomes a finished entry.
 type recoveredKey struct {
-	digest  [16]byte
-	tasks   uint16
-	records map[uint16]wire.TaskRecord
+	digest [16]byte
+	tasks  uint16
+	// ended has the records of the tasks that ended, with the agent that tells most about each. They are kept
+	// whatever the agents answer later, because agents forget them earlier than this table.
+	ended map[uint16]wire.TaskRecord
+	// open has the tasks that were queued or running, for each agent that listed them. A queued one can still be
+	// refused, and the upstream of a running one can turn out not to have been reached.
+	open    map[openAt]struct{}
 	bytes   int
 	expires int64 // Unix milliseconds
 	// openUntil bounds the time in which a task that was queued or running can still get a result.
 	openUntil time.Time
-	// inconsistent is set when records disagree on the job; such a key never gets an answer.
+	// inconsistent is set when records disagree on the job; such a key never gets an answer, even if one of the
+	// records is withdrawn later.
 	inconsistent bool
 }
 
+// openAt is an open task of a key at one agent.
+type openAt struct {
+	source reporter
+	task   uint16
+}
+
 type recoveredKeys struct {
-	keys  map[wire.KeyHash]*recoveredKey
+	keys map[wire.KeyHash]*recoveredKey
+	// open has the open tasks of all keys by the agent that listed them.
+	open  map[reporter]map[openTask]struct{}
 	queue []keyExpiry
 	bytes int
 }
 
-func (r *recoveredKeys) init() { r.keys = make(map[wire.KeyHash]*recoveredKey) }
+func (r *recoveredKeys) init() {
+	r.keys = make(map[wire.KeyHash]*recoveredKey)
+	r.open = make(map[reporter]map[openTask]struct{})
+}
 
 func (r *recoveredKeys) get(key wire.KeyHash, k *wire.KeyRecord, expires time.Time) *recoveredKey {
 	found := r.keys[key]
 	if found == nil {
-		found = &recoveredKey{digest: k.Digest, tasks: k.Tasks, records: make(map[uint16]wire.TaskRecord)}
+		found = &recoveredKey{
+			digest: k.Digest, tasks: k.Tasks,
+			ended: make(map[uint16]wire.TaskRecord), open: make(map[openAt]struct{}),
+		}
 		r.keys[key] = found
 	}
 	if found.tasks != k.Tasks || !sameDigest(found.digest, k.Digest) {
@@ -43,9 +63,50 @@
 }
 
 func (r *recoveredKeys) remove(key wire.KeyHash) {
-	if found := r.keys[key]; found != nil {
-		r.bytes -= found.bytes
-		delete(r.keys, key)
+	found := r.keys[key]
+	if found == nil {
+		return
+	}
+	for o := range found.open {
+		r.unindex(o.source, openTask{key, o.task})
+	}
+	r.bytes -= found.bytes
+	delete(r.keys, key)
+}
+
+// addOpen notes that an agent listed a task of a key as queued or running.
+func (r *recoveredKeys) addOpen(source reporter, task openTask) {
+	r.keys[task.key].open[openAt{source, task.task}] = struct{}{}
+	tasks := r.open[source]
+	if tasks == nil {
+		tasks = make(map[openTask]struct{})
+		r.open[source] = tasks
+	}
+	tasks[task] = struct{}{}
+}
+
+// withdraw drops an open task of one agent, and the key if nothing else is known about it.
+func (r *recoveredKeys) withdraw(source reporter, task openTask) {
+	r.closeTask(source, task)
+	r.removeIfEmpty(task.key)
+}
+
+// closeTask notes that a task is not open any more at one agent.
+func (r *recoveredKeys) closeTask(source reporter, task openTask) {
+	r.unindex(source, task)
+	delete(r.keys[task.key].open, openAt{source, task.task})
+}
+
+func (r *recoveredKeys) removeIfEmpty(key wire.KeyHash) {
+	if k := r.keys[key]; len(k.open) == 0 && len(k.ended) == 0 {
+		r.remove(key)
+	}
+}
+
+func (r *recoveredKeys) unindex(source reporter, task openTask) {
+	delete(r.open[source], task)
+	if len(r.open[source]) == 0 {
+		delete(r.open, source)
 	}
 }
 
@@ -61,32 +122,24 @@
 	r.queue = r.queue[n:]
 }
 
-// merge adds a record of a task. Of two records of the same task the one that tells more is kept.
+// merge adds the record of a task that ended. Of two records of the same task one with an answer is kept.
 func (k *recoveredKey) merge(record wire.TaskRecord) (addedBytes int) {
-	former, ok := k.records[record.Task]
-	if ok && rank(former) >= rank(record) {
+	former, ok := k.ended[record.Task]
+	if ok && (hasAnswer(former) || !hasAnswer(record)) {
 		return 0
 	}
 	added := contentSize(record.Headers, record.Body) - contentSize(former.Headers, former.Body)
-	k.records[record.Task] = record
+	k.ended[record.Task] = record
 	k.bytes += added
 	return added
 }
 
-func rank(r wire.TaskRecord) int {
-	switch {
-	case r.State == wire.AttemptDone && !r.Dropped:
-		return 3
-	case r.State == wire.AttemptUnknown, r.State == wire.AttemptDone:
-		return 2
-	default:
-		return 1
-	}
-}
+func hasAnswer(r wire.TaskRecord) bool { return r.State == wire.AttemptDone && !r.Dropped }
 
+// hasOpen tells whether a task without a recorded answer can still get one.
 func (k *recoveredKey) hasOpen() bool {
-	for _, r := range k.records {
-		if rank(r) == 1 {
+	for o := range k.open {
+		if !hasAnswer(k.ended[o.task]) {
 			return true
 		}
 	}
@@ -95,13 +148,13 @@
 
 // answer returns the whole answer, or nil unless every task has a recorded answer.
 func (k *recoveredKey) answer() *wire.Answer {
-	if k.inconsistent || k.tasks == 0 || len(k.records) != int(k.tasks) {
+	if k.inconsistent || k.tasks == 0 || len(k.ended) != int(k.tasks) {
 		return nil
 	}
 	a := &wire.Answer{Outcome: wire.OutcomeComplete, Tasks: make([]wire.TaskAnswer, k.tasks)}
 	for i := range a.Tasks {
-		r, ok := k.records[uint16(i)]
-		if !ok || rank(r) < 3 {
+		r := k.ended[uint16(i)]
+		if !hasAnswer(r) {
 			return nil
 		}
 		a.Tasks[i] = wire.TaskAnswer{Outcome: wire.OutcomeComplete, Status: r.Status, Headers: r.Headers, Body: r.Body}
@@ -109,7 +162,7 @@
 	return a
 }
 
-// fromRecovered answers a submission of a key of which some tasks are known to have started.
+// fromRecovered answers a submission of a key of which some tasks have started or can still start.
 func (t *Table) fromRecovered(now time.Time, k *recoveredKey, s Submission) Decision {
 	if d, waiting := t.awaitAnswers(now, s.Deadline); waiting {
 		return d
@@ -122,50 +175,3 @@
 	}
 	return refuse(wire.OutcomeUnknown, wire.ReasonUpstreamLost, "tasks of the job were started, and not all results are known", 0)
 }
-
-// checkDigest gives up a recovered answer when another body ran under the same key: the key expired and was used
-// again shortly before its home was lost. Neither body can be answered then.
-func (t *Table) checkDigest(now time.Time, e *entry, record *wire.KeyRecord) {
-	if e.region == regionUnknown && !sameDigest(e.digest, record.Digest) {
-		t.store.insert(record.Key, [16]byte{}, nil, now.Add(t.cfg.Retention))
-	}
-}
-
-// mergeKey takes over the records of one key.
-func (t *Table) mergeKey(now time.Time, record *wire.KeyRecord) {
-	e := t.store.find(record.Key)
-	running := e != nil && e.state == stateRunning
-	if running && e.epoch == t.epoch {
-		t.late++
-	}
-	if e != nil && complete(e.answer) {
-		t.checkDigest(now, e, record)
-		return
-	}
-	k := t.recovered.get(record.Key, record, now.Add(t.cfg.Retention+slack))
-	for _, task := range record.Done {
-		if t.recovered.bytes+t.store.bytes+len(task.Body) > t.cfg.MaxAnswerBytes && task.State == wire.AttemptDone {
-			task = wire.TaskRecord{Task: task.Task, State: task.State, Dropped: true}
-		}
-		t.recovered.bytes += k.merge(task)
-		if rank(task) == 1 {
-			k.openUntil = now.Add(slack)
-		}
-	}
-	if !running {
-		t.promote(now, record.Key, k)
-	}
-}
-
-// promote turns the records of a key into a finished entry if they make a whole answer. A job that still runs here
-// comes first: its records are kept, because it may end as not_run and be forgotten.
-func (t *Table) promote(now time.Time, key wire.KeyHash, k *recoveredKey) bool {
-	answer := k.answer()
-	if answer == nil {
-		return false
-	}
-	t.recovered.remove(key)
-	t.store.insert(key, k.digest, bounded(answer), now.Add(t.cfg.Retention))
-	t.handover.push(key)
-	return true
-}
--- a/internal/submission/round.go
+++ b/internal/submission/round.go
@@ -7,10 +7,6 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
-// verdictAge is how long a verdict is used while no event arrives. Only the passing of time changes it then, and
-// only towards fewer refusals.
-const verdictAge = time.Second
-
 // round is the search for what former homes started, since the last change that made this entry inherit keys.
 type round struct {
 	// version is the list under which the search began; answers under an older list do not count.
@@ -21,28 +17,18 @@
 	// answered has, for each expelled incarnation, the agents that sent all their records.
 	answered map[uint64]map[AgentRef]struct{}
 	// blind has the time at which an expelled entry was first seen whose agents are not known completely.
-	blind  map[uint64]time.Time
-	reasks []reask
-	dirty  bool
-	last   verdict
+	blind map[uint64]time.Time
+	// reports are the answers of agents of which not all parts have arrived.
+	reports map[reporter]*report
+	reasks  []reask
+	dirty   bool
+	last    verdict
 }
 
+// reask is a further question to an agent whose tasks have no result yet.
 type reask struct {
-	agent    AgentRef
-	expelled uint64
-	at       time.Time
-}
-
-// verdict summarises what is missing.
-type verdict struct {
-	at time.Time
-	// agents counts agents that may still run work for an expelled entry; waitUntil bounds the wait for them.
-	agents    int
-	waitUntil time.Time
-	// horizon is the latest time at which records were lost; zero if none matter. Until horizonEnd a key that could
-	// have been among them may not be run.
-	horizon    time.Time
-	horizonEnd time.Time
+	source reporter
+	at     time.Time
 }
 
 // restart asks everyone again. Former answers told only about the keys of that time.
@@ -54,6 +40,7 @@
 		members:  make(map[holderRef]struct{}),
 		answered: make(map[uint64]map[AgentRef]struct{}),
 		blind:    make(map[uint64]time.Time),
+		reports:  make(map[reporter]*report),
 	}
 	for _, m := range t.list.Members {
 		if !placement.SameRun(m, t.self) {
@@ -105,33 +92,14 @@
 	return Actions{Recheck: true}
 }
 
-// RecordsReceived takes over records of an expelled entry.
-func (t *Table) RecordsReceived(now time.Time, from AgentRef, m *wire.Records) Actions {
-	t.expire(now)
-	if !t.current(m.ListVersion) || !t.isSource(m.ExpelledIncarnation) {
-		return Actions{}
-	}
-	open := false
-	for i := range m.Keys {
-		t.mergeKey(now, &m.Keys[i])
-		k := t.recovered.keys[m.Keys[i].Key]
-		open = open || (k != nil && k.hasOpen())
-	}
-	if open {
-		t.reaskLater(now, from, m.ExpelledIncarnation)
-	}
-	if !m.Last {
-		return Actions{}
-	}
-	answered := t.round.answered[m.ExpelledIncarnation]
+// addAnswered notes that an agent sent all its records of a departed entry.
+func (r *round) addAnswered(source reporter) {
+	answered := r.answered[source.departed]
 	if answered == nil {
 		answered = make(map[AgentRef]struct{})
-		t.round.answered[m.ExpelledIncarnation] = answered
+		r.answered[source.departed] = answered
 	}
-	answered[from] = struct{}{}
-	t.round.dirty = true
-	t.settle(now)
-	return Actions{Recheck: true}
+	answered[source.agent] = struct{}{}
 }
 
 // mayRun decides on a key without records, entry or holder.
@@ -191,55 +159,3 @@
 	m, ok := placement.Find(t.list, t.self.ID, t.self.Incarnation)
 	return ok && m.State == wire.MemberActive
 }
-
-func (t *Table) verdict(now time.Time) verdict {
-	if !t.round.dirty && now.Sub(t.round.last.at) < verdictAge {
-		return t.round.last
-	}
-	t.roster.expire(now)
-	v := verdict{at: now}
-	for _, d := range t.sources() {
-		t.judge(now, d, &v)
-	}
-	t.round.last = v
-	t.round.dirty = false
-	return v
-}
-
-// judge adds what is missing about one expelled entry.
-func (t *Table) judge(now time.Time, d wire.Departed, v *verdict) {
-	if _, heard := t.roster.heard[d.Incarnation]; !heard {
-		v.lose(now, t.round.blind[d.Incarnation], t.roster.window)
-	}
-	answered := t.round.answered[d.Incarnation]
-	for ref, a := range t.roster.agents {
-		if _, ok := answered[ref]; ok {
-			continue
-		}
-		if a.lost() {
-			v.lose(now, a.lostAt, t.roster.window)
-			continue
-		}
-		v.agents++
-		asked := t.round.started
-		if a.connected && a.connectedAt.After(asked) {
-			asked = a.connectedAt
-		}
-		if until := asked.Add(t.cfg.CollectGrace); until.After(v.waitUntil) {
-			v.waitUntil = until
-		}
-	}
-}
-
-func (v *verdict) lose(now, at time.Time, window time.Duration) {
-	end := at.Add(window)
-	if !now.Before(end) {
-		return
-	}
-	if at.After(v.horizon) {
-		v.horizon = at
-	}
-	if end.After(v.horizonEnd) {
-		v.horizonEnd = end
-	}
-}
--- /dev/null
+++ b/internal/submission/verdict.go
@@ -0,0 +1,75 @@
+package submission
+
+import (
+	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// verdictAge is how long a verdict is used while no event arrives. Only the passing of time changes it then, and
+// only towards fewer refusals.
+const verdictAge = time.Second
+
+// verdict summarises what is missing.
+type verdict struct {
+	at time.Time
+	// agents counts agents that may still run work for an expelled entry; waitUntil bounds the wait for them.
+	agents    int
+	waitUntil time.Time
+	// horizon is the latest time at which records were lost; zero if none matter. Until horizonEnd a key that could
+	// have been among them may not be run.
+	horizon    time.Time
+	horizonEnd time.Time
+}
+
+func (t *Table) verdict(now time.Time) verdict {
+	if !t.round.dirty && now.Sub(t.round.last.at) < verdictAge {
+		return t.round.last
+	}
+	t.roster.expire(now)
+	v := verdict{at: now}
+	for _, d := range t.sources() {
+		t.judge(now, d, &v)
+	}
+	t.round.last = v
+	t.round.dirty = false
+	return v
+}
+
+// judge adds what is missing about one expelled entry.
+func (t *Table) judge(now time.Time, d wire.Departed, v *verdict) {
+	if _, heard := t.roster.heard[d.Incarnation]; !heard {
+		v.lose(now, t.round.blind[d.Incarnation], t.roster.window)
+	}
+	answered := t.round.answered[d.Incarnation]
+	for ref, a := range t.roster.agents {
+		if _, ok := answered[ref]; ok {
+			continue
+		}
+		if a.lost() {
+			v.lose(now, a.lostAt, t.roster.window)
+			continue
+		}
+		v.agents++
+		asked := t.round.started
+		if a.connected && a.connectedAt.After(asked) {
+			asked = a.connectedAt
+		}
+		if until := asked.Add(t.cfg.CollectGrace); until.After(v.waitUntil) {
+			v.waitUntil = until
+		}
+	}
+}
+
+func (v *verdict) lose(now, at time.Time, window time.Duration) {
+	end := at.Add(window)
+	if !now.Before(end) {
+		return
+	}
+	if at.After(v.horizon) {
+		v.horizon = at
+	}
+	if end.After(v.horizonEnd) {
+		v.horizonEnd = end
+	}
+}
--- a/internal/submission/world_jobs_test.go
+++ b/internal/submission/world_jobs_test.go
@@ -255,16 +255,17 @@
 	}
 }
 
-// advance starts the oldest queued task of an agent, or ends its oldest running one.
-func (w *world) advance(a *agent, lost bool) {
+// advance starts the oldest queued task of an agent, or ends its oldest running one. With fails set, the answer of a
+// running task is lost, and a queued one is refused.
+func (w *world) advance(a *agent, fails bool) {
 	if !a.alive {
 		return
 	}
-	if len(a.running) > 0 && (len(a.queued) == 0 || lost) {
+	if len(a.running) > 0 && (len(a.queued) == 0 || fails) {
 		s := a.running[0]
 		a.running = a.running[1:]
 		r := &wire.Result{Attempt: s.Attempt, State: wire.AttemptDone, Body: s.Body}
-		if lost {
+		if fails {
 			r = &wire.Result{Attempt: s.Attempt, State: wire.AttemptUnknown}
 		}
 		a.table.Finish(w.now, records.RefOf(s), r)
@@ -276,7 +277,7 @@
 	}
 	s := a.queued[0]
 	a.queued = a.queued[1:]
-	if w.now.After(s.Expires) {
+	if w.now.After(s.Expires) || fails {
 		w.sendResult(a, w.owner[s.Attempt].home, a.table.Refuse(w.now, records.RefOf(s), wire.RefusedExpired))
 	} else if a.table.Running(records.RefOf(s)) {
 		w.checkStart(s)
--- a/internal/submission/world_test.go
+++ b/internal/submission/world_test.go
@@ -296,13 +296,31 @@
 			if newer != nil {
 				w.send(a.name(), h.name(), func() { w.adopt(h, newer) })
 			}
-			for _, part := range parts {
+			for _, part := range splitParts(parts) {
 				w.send(a.name(), h.name(), func() { w.apply(h, h.table.RecordsReceived(w.now, a.ref, part)) })
 			}
 		})
 	}
 }
 
+// splitParts makes a part of its own for each key, as a large table of records would.
+func splitParts(parts []*wire.Records) []*wire.Records {
+	var all []*wire.Records
+	for _, part := range parts {
+		for i := range max(len(part.Keys), 1) {
+			one := *part
+			one.Keys = part.Keys[min(i, len(part.Keys)):min(i+1, len(part.Keys))]
+			one.Part = uint16(len(all))
+			one.Last = false
+			all = append(all, &one)
+		}
+	}
+	if len(all) > 0 {
+		all[len(all)-1].Last = true
+	}
+	return all
+}
+
 // handover does what a leaving entry has to do, up to its removal from the list.
 func (w *world) handover(h *home) {
 	for _, o := range h.table.HandoverNext(w.now) {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -265,13 +265,20 @@
 	Digest [16]byte `cbor:"4,keyasint"`
 }
 
-// Records answers Collect, in one or more parts; Last is set in the final part.
+// Records answers Collect, in one or more parts; Last is set in the final part. Parts of several answers can arrive
+// interleaved.
 type Records struct {
 	Expelled            string      `cbor:"1,keyasint"`
 	ExpelledIncarnation uint64      `cbor:"2,keyasint"`
 	ListVersion         uint64      `cbor:"3,keyasint"`
 	Keys                []KeyRecord `cbor:"4,keyasint,omitempty"`
 	Last                bool        `cbor:"5,keyasint,omitempty"`
+	// Answer numbers the answers of one run of the agent, and Part the parts of an answer from 0.
+	Answer uint64 `cbor:"6,keyasint,omitempty"`
+	Part   uint16 `cbor:"7,keyasint,omitempty"`
+	// Expired is set when a task that an earlier answer listed as queued or running may have started although this
+	// answer does not list it: its record has expired or was replaced by one of another home.
+	Expired bool `cbor:"8,keyasint,omitempty"`
 }
 
 // TaskSpec is one task of a job as the caller sent it.
