Let Retry-After of recovering answers grow with the silence

A key without records whose agents or members had not answered was refused with an advice of 1 s, however long they had been silent, so callers asked once a second for up to the agent memory of 2 h.

The advice is now the time for which the longest silent one has been silent, between 1 s and 1 min: a silence is expected to last as long again as it has lasted. An agent without a link counts from when it was seen last, one with a link from when it was asked. For a key with open tasks the advice is 1 s while their agents have a link, and never goes past the time at which the key stops recovering. A fixed longer advice was considered; it delays callers whose agent comes back within seconds.

The message of upstream_lost no longer claims that tasks were started: they may also have been queued at an agent that is gone.

The new test fails with a fixed advice, without the cap, without the rule for open tasks, and when agents without a link count from the round.

--- a/internal/submission/config.go
+++ b/internal/submission/config.go
@@ -38,6 +38,8 @@
 	minRetention = 2 * wire.MaxDeadline
 	// retryShort is the advice to callers when the state changes within seconds.
 	retryShort = time.Second
+	// retryLong is the longest advice while someone who is silent may come back at any time.
+	retryLong = time.Minute
 	// retryFull is the advice when the table is full: entries expire all the time.
 	retryFull = 2 * time.Second
 	// reaskInterval is the time after which an agent that reported running tasks is asked again.
--- a/internal/submission/decision.go
+++ b/internal/submission/decision.go
@@ -67,6 +67,12 @@
 	}}
 }
 
+// retryAfterSilence returns the advice to callers while an answer is missing since the given time: the silence is
+// expected to last as long again as it has lasted.
+func retryAfterSilence(now, since time.Time) time.Duration {
+	return min(max(now.Sub(since), retryShort), retryLong)
+}
+
 func recovering(retry time.Duration) Decision {
 	return refuse(wire.OutcomeUnknown, wire.ReasonRecovering, "the former home of this key is gone, and what it started is not known yet", retry)
 }
--- a/internal/submission/recovered.go
+++ b/internal/submission/recovered.go
@@ -171,7 +171,19 @@
 		return Decision{Kind: Conflict}
 	}
 	if now.Before(k.openUntil) && k.hasOpen() {
-		return recovering(retryShort)
+		return recovering(t.retryOpen(now, k))
 	}
-	return refuse(wire.OutcomeUnknown, wire.ReasonUpstreamLost, "tasks of the job were started, and not all results are known", 0)
+	return refuse(wire.OutcomeUnknown, wire.ReasonUpstreamLost, "tasks of the job may have started, and not all results are known", 0)
+}
+
+// retryOpen returns the advice to callers for a key with open tasks: agents with a link are asked every second. After
+// openUntil the key is not recovering any more.
+func (t *Table) retryOpen(now time.Time, k *recoveredKey) time.Duration {
+	retry := retryShort
+	for o := range k.open {
+		if a := t.roster.agents[o.source.agent]; a != nil && !a.connected {
+			retry = max(retry, retryAfterSilence(now, a.lastSeen))
+		}
+	}
+	return min(retry, max(k.openUntil.Sub(now), retryShort))
 }
--- a/internal/submission/reports_test.go
+++ b/internal/submission/reports_test.go
@@ -145,3 +145,40 @@
 	g.Expect(table.Submit(epoch, s).Kind).To(gomega.Equal(submission.Run))
 	g.Expect(table.AgentConnected(epoch, near, epoch).Collect).To(gomega.BeEmpty(), "nothing is open")
 }
+
+// Guards against callers who ask every second for a key whose agent has been silent for long, and against callers who
+// wait long although every agent is being asked.
+func TestRetryAfterFitsTheSilence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	advice := func(table *submission.Table, now time.Time, s submission.Submission) time.Duration {
+		d := table.Submit(now, s)
+		g.Expect(d.Kind).To(gomega.Equal(submission.Refuse))
+		g.Expect(d.Answer.Reason).To(gomega.Equal(wire.ReasonRecovering))
+		return time.Duration(d.Answer.RetryAfterMillis) * time.Millisecond
+	}
+	table, near, far := recovery(g)
+	table.RecordsReceived(epoch, near, recordsOf())
+	past := func(d time.Duration) submission.Submission {
+		s := inherited(1)
+		s.Deadline = epoch.Add(d)
+		return s
+	}
+	g.Expect(table.Lookup(epoch, past(time.Minute)).Answer.RetryAfterMillis).To(gomega.BeEquivalentTo(1000), "being asked")
+	g.Expect(advice(table, epoch.Add(time.Second), past(time.Second))).To(gomega.Equal(time.Second))
+	g.Expect(advice(table, epoch.Add(20*time.Second), past(0))).To(gomega.Equal(20 * time.Second))
+	back := epoch.Add(time.Hour)
+	g.Expect(advice(table, back, past(0))).To(gomega.Equal(time.Minute), "silent for an hour")
+	table.AgentConnected(back, far, epoch)
+	g.Expect(advice(table, back.Add(time.Second), past(0))).To(gomega.Equal(time.Second), "asked a second ago")
+
+	mute := wire.AgentPresence{ID: "mute", Incarnation: 8, SilentMillis: 30_000}
+	table, _, _ = recovery(g)
+	table.RosterReceived(epoch, entry("c", 5), &wire.AgentRoster{Agents: []wire.AgentPresence{mute}})
+	g.Expect(advice(table, epoch.Add(2*time.Second), past(0))).To(gomega.Equal(32*time.Second), "silent before the expulsion")
+
+	open, near, _, s := queuedAtNear(g)
+	g.Expect(advice(open, epoch, s)).To(gomega.Equal(time.Second))
+	open.AgentDisconnected(epoch, near)
+	g.Expect(advice(open, epoch.Add(10*time.Second), s)).To(gomega.Equal(10 * time.Second))
+	g.Expect(advice(open, epoch.Add(60*time.Second), s)).To(gomega.Equal(5*time.Second), "the wait ends then")
+}
--- a/internal/submission/round.go
+++ b/internal/submission/round.go
@@ -123,7 +123,7 @@
 		if now.Before(deadline) {
 			return Decision{Kind: Wait, Until: deadline}, true
 		}
-		return recovering(retryShort), true
+		return recovering(retryAfterSilence(now, t.round.started)), true
 	}
 	v := t.verdict(now)
 	if v.agents == 0 {
@@ -136,7 +136,7 @@
 	if now.Before(until) {
 		return Decision{Kind: Wait, Until: until}, true
 	}
-	return recovering(retryShort), true
+	return recovering(retryAfterSilence(now, v.silentSince)), true
 }
 
 // youngerThan tells whether a key was provably created after the horizon. A key whose time lies in the future proves
--- a/internal/submission/verdict.go
+++ b/internal/submission/verdict.go
@@ -16,6 +16,8 @@
 	// agents counts agents that may still run work for an expelled entry; waitUntil bounds the wait for them.
 	agents    int
 	waitUntil time.Time
+	// silentSince is the time since which one of them has been silent, the earliest of all.
+	silentSince time.Time
 	// horizon is the latest time at which records were lost; zero if none matter. Until horizonEnd a key that could
 	// have been among them may not be run.
 	horizon    time.Time
@@ -50,14 +52,34 @@
 			v.lose(now, a.lostAt, t.roster.window)
 			continue
 		}
-		v.agents++
-		asked := t.round.started
-		if a.connected && a.connectedAt.After(asked) {
-			asked = a.connectedAt
-		}
-		if until := asked.Add(t.cfg.CollectGrace); until.After(v.waitUntil) {
-			v.waitUntil = until
-		}
+		v.await(t.askedAt(a), t.silentSince(a), t.cfg.CollectGrace)
+	}
+}
+
+// askedAt is when an agent was asked first in this round, or when the round began if the agent has no link.
+func (t *Table) askedAt(a *agentInfo) time.Time {
+	if a.connected && a.connectedAt.After(t.round.started) {
+		return a.connectedAt
+	}
+	return t.round.started
+}
+
+// silentSince is the time since which an agent could have answered and has not. An agent without a link to any entry
+// has been silent since before the round.
+func (t *Table) silentSince(a *agentInfo) time.Time {
+	if !a.linked() {
+		return a.lastSeen
+	}
+	return t.askedAt(a)
+}
+
+func (v *verdict) await(asked, silentSince time.Time, grace time.Duration) {
+	v.agents++
+	if until := asked.Add(grace); until.After(v.waitUntil) {
+		v.waitUntil = until
+	}
+	if v.silentSince.IsZero() || silentSince.Before(v.silentSince) {
+		v.silentSince = silentSince
 	}
 }
 
