--- a/internal/agent/targets.go
+++ b/internal/agent/targets.go
@@ -30,13 +30,11 @@
 }
 
 // update starts and stops diallers after a change of the list. An entry that was expelled is dialled for the retention
-// window, since it may still own attempts; one that left cleanly is not.
+// window, since it may still own attempts; one that left cleanly is not. The supervisor handles stops before starts, so that an
+// entry with two addresses is not dialled again on the old one once it is linked on the new one.
 func (t *targets) update(now time.Time) {
 	list := t.list()
 	wanted := t.wanted(list)
-	for address, id := range wanted {
-		t.start(address, id)
-	}
 	for address, existing := range t.byAddr {
 		if _, ok := wanted[address]; ok || !existing.dropAt.IsZero() {
 			continue
@@ -47,6 +45,9 @@
 		}
 		t.stop(address)
 	}
+	for address, id := range wanted {
+		t.start(address, id)
+	}
 }
 
 // learn notes which entry answered at an address.
