--- a/internal/entry/ownership_test.go
+++ b/internal/entry/ownership_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/platform"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -22,10 +23,15 @@
 		{ID: "e1", Incarnation: 1, State: wire.MemberActive}, {ID: "e2", Incarnation: 2, State: wire.MemberActive},
 	}}
 	e.lease.renewed("lease", start)
-	c.noteOwnLease(&snapshot{list: &c.list, leases: map[string]uint64{"e1": 1}, ownLease: "lease"})
+	c.noteOwnLease(&snapshot{list: &c.list, leases: leaseOf(c, "lease")})
 	return c
 }
 
+// leaseOf returns the leases of a snapshot that shows the entry under this lease.
+func leaseOf(c *control, id platform.LeaseID) map[string]platform.LeaseID {
+	return map[string]platform.LeaseID{leaseKey(c.self()): id}
+}
+
 // Guards against a refusal not_run by an entry that may have been expelled while it was paused or cut off.
 func TestLeaseProvesOwnershipUntilAnExpulsionIsPossible(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -41,9 +47,9 @@
 	// A lease that was taken anew proves nothing before the store shows it together with the membership.
 	c.entry.lease.renewed("next", c.now)
 	g.Expect(c.ownsKeys()).To(gomega.BeFalse())
-	c.noteOwnLease(&snapshot{list: &wire.EntryList{Version: 4}, leases: map[string]uint64{"e1": 1}, ownLease: "next"})
+	c.noteOwnLease(&snapshot{list: &wire.EntryList{Version: 4}, leases: leaseOf(c, "next")})
 	g.Expect(c.ownsKeys()).To(gomega.BeFalse(), "the store shows a list without this entry")
-	c.noteOwnLease(&snapshot{list: &c.list, leases: map[string]uint64{"e1": 1}, ownLease: "next"})
+	c.noteOwnLease(&snapshot{list: &c.list, leases: leaseOf(c, "next")})
 	g.Expect(c.ownsKeys()).To(gomega.BeTrue())
 	g.Expect(c.vouch(refusal)).To(gomega.BeIdenticalTo(refusal))
 }
