Make the tests of the operator endpoints fail in time

A server without a token was refused for another missing option, so the test of it passed with the check removed, and a dump without a bound hung the test.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -47,7 +47,7 @@
 		t.Fatal(err)
 	}
 	request.Header.Set("Authorization", authorization)
-	response, err := http.DefaultClient.Do(request)
+	response, err := (&http.Client{Timeout: 10 * time.Second}).Do(request)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,7 +77,8 @@
 		}
 		g.Expect(status(path, "Bearer secret")).To(gomega.Equal(http.StatusOK), path)
 	}
-	_, err := admin.New(admin.Options{Address: "127.0.0.1:0", Role: "agent", Vars: admin.NewVars()})
+	dump := func(context.Context) (any, error) { return nil, nil }
+	_, err := admin.New(admin.Options{Address: "127.0.0.1:0", Role: "agent", Vars: admin.NewVars(), Dump: dump})
 	g.Expect(errors.Is(err, admin.ErrOptions)).To(gomega.BeTrue(), "a server without a token")
 }
 
--- a/internal/agent/targets.go
+++ b/internal/agent/targets.go
@@ -30,8 +30,8 @@
 }
 
 // update starts and stops diallers after a change of the list. An entry that was expelled is dialled for the retention
-// window, since it may still own attempts; one that left cleanly is not. The supervisor handles stops before starts, so that an
-// entry with two addresses is not dialled again on the old one once it is linked on the new one.
+// window, since it may still own attempts; one that left cleanly is not. Stops come before starts, so that an entry with
+// two addresses is not dialled again on the old one once it is linked on the new one.
 func (t *targets) update(now time.Time) {
 	list := t.list()
 	wanted := t.wanted(list)
