--- /dev/null
+++ b/internal/submission/recovery_test.go
@@ -0,0 +1,194 @@
+package submission_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
+	"github.com/coltsfootspur/coltsfootspur/internal/submission"
+	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+)
+
+// recovery returns the table of b after a was expelled, with two agents that a used.
+func recovery(g *gomega.WithT) (*submission.Table, submission.AgentRef, submission.AgentRef) {
+	a, b := entry("a", 1), entry("b", 2)
+	table := submission.New(submission.Config{Retention: retention, AgentMemory: agentMemory}, b)
+	table.Adopt(epoch, &wire.EntryList{Version: 1, Members: []wire.Member{a, b}})
+	table.RosterReceived(epoch, a, &wire.AgentRoster{Full: true, Agents: []wire.AgentPresence{{ID: "far", Incarnation: 3}}})
+	table.InheritedReceived(epoch, a, &wire.Inherited{ListVersion: 1, Last: true})
+	near, far := submission.AgentRef{ID: "near", Incarnation: 4}, submission.AgentRef{ID: "far", Incarnation: 3}
+	table.AgentConnected(epoch, near, epoch)
+	actions := table.Adopt(epoch, &wire.EntryList{
+		Version: 2, Members: []wire.Member{b}, Departed: []wire.Departed{{ID: "a", Incarnation: 1, AtVersion: 2, At: epoch}},
+	})
+	g.Expect(actions.Collect).To(gomega.HaveLen(1), "only one agent has a link")
+	return table, near, far
+}
+
+// inherited returns the nth key that belonged to a.
+func inherited(n int) submission.Submission {
+	list := &wire.EntryList{Version: 1, Members: []wire.Member{entry("a", 1), entry("b", 2)}}
+	for i := 0; ; i++ {
+		if home, _ := placement.Home(list, "", sub(i).Key); home.ID == "a" {
+			if n--; n < 0 {
+				return sub(i)
+			}
+		}
+	}
+}
+
+func recordsOf(keys ...wire.KeyRecord) *wire.Records {
+	return &wire.Records{Expelled: "a", ExpelledIncarnation: 1, ListVersion: 2, Keys: keys, Last: true}
+}
+
+// Guards against a key that runs while an agent that is known from the expelled entry only may have started it, and
+// against a whole answer that is not rebuilt from the records of several agents.
+func TestRecoveryWaitsForEveryAgent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, near, far := recovery(g)
+	s, split := inherited(0), inherited(1)
+	record := func(task uint16) wire.KeyRecord {
+		done := wire.TaskRecord{Task: task, State: wire.AttemptDone, Status: 200, Body: []byte{byte('0' + task)}}
+		return wire.KeyRecord{Key: split.Key, Tasks: 2, Digest: split.Digest, Done: []wire.TaskRecord{done}}
+	}
+	table.RecordsReceived(epoch, near, recordsOf(record(1)))
+	wait := table.Submit(epoch, s)
+	g.Expect(wait.Kind).To(gomega.Equal(submission.Wait))
+	later := wait.Until
+	g.Expect(table.Submit(later, s).Answer.Reason).To(gomega.Equal(wire.ReasonRecovering))
+	g.Expect(table.Submit(later, split).Answer.Reason).To(gomega.Equal(wire.ReasonRecovering))
+
+	g.Expect(table.AgentConnected(later, far, epoch).Collect).To(gomega.HaveLen(1))
+	for _, version := range []uint64{1, 3} {
+		other := recordsOf()
+		other.ListVersion = version
+		table.RecordsReceived(later, far, other)
+		g.Expect(table.Submit(later, s).Kind).To(gomega.Equal(submission.Wait), "an answer under another list does not count")
+	}
+	table.RecordsReceived(later, far, recordsOf(record(0)))
+	g.Expect(table.Submit(later, s).Kind).To(gomega.Equal(submission.Run))
+	g.Expect(table.RunningJobs()).To(gomega.HaveLen(1))
+	whole := table.Submit(later, split)
+	g.Expect(whole.Kind).To(gomega.Equal(submission.Stored))
+	g.Expect(string(whole.Answer.Tasks[0].Body) + string(whole.Answer.Tasks[1].Body)).To(gomega.Equal("01"))
+}
+
+// Guards against a key that runs although the records that could name it were lost, and against one that is refused
+// although it is younger than the loss.
+func TestRecoveryAfterLostRecords(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, near, far := recovery(g)
+	table.RecordsReceived(epoch, near, recordsOf())
+	replaced := epoch.Add(time.Minute)
+	next := submission.AgentRef{ID: far.ID, Incarnation: 9}
+	table.AgentConnected(replaced, next, replaced)
+	table.RecordsReceived(replaced, next, recordsOf())
+
+	at := func(d time.Duration) submission.Submission {
+		s := inherited(0)
+		s.CreatedAt = replaced.Add(d)
+		return s
+	}
+	now := replaced.Add(10 * time.Second)
+	g.Expect(table.Submit(now, inherited(0)).Answer.Reason).To(gomega.Equal(wire.ReasonRecovering), "opaque key")
+	g.Expect(table.Submit(now, at(time.Second)).Answer.Reason).To(gomega.Equal(wire.ReasonRecovering), "within the skew")
+	g.Expect(table.Submit(now, at(time.Hour)).Answer.Reason).To(gomega.Equal(wire.ReasonRecovering), "from the future")
+	g.Expect(table.Submit(now, at(3*time.Second)).Kind).To(gomega.Equal(submission.Run))
+	over := replaced.Add(retention + 2*wire.MaxDeadline)
+	g.Expect(table.Submit(over, inherited(1)).Kind).To(gomega.Equal(submission.Run), "opaque key after the window")
+}
+
+// Guards against a task that is still running at an agent when its home is lost, and whose answer is never asked for.
+func TestRecoveryAsksAgainForRunningTasks(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, near, far := recovery(g)
+	s := inherited(0)
+	record := wire.KeyRecord{Key: s.Key, Tasks: 1, Digest: s.Digest, Done: []wire.TaskRecord{{State: wire.AttemptRunning}}}
+	table.RecordsReceived(epoch, near, recordsOf(record))
+	table.AgentConnected(epoch, far, epoch)
+	table.RecordsReceived(epoch, far, recordsOf())
+	g.Expect(table.Submit(epoch, s).Answer.Reason).To(gomega.Equal(wire.ReasonRecovering))
+	g.Expect(table.Tick(epoch).Collect).To(gomega.BeEmpty())
+	actions := table.Tick(table.Wake())
+	g.Expect(actions.Collect).To(gomega.HaveLen(1))
+	g.Expect(actions.Collect[0].Agent).To(gomega.Equal(near))
+	record.Done = []wire.TaskRecord{{State: wire.AttemptDone, Body: []byte("x")}}
+	table.RecordsReceived(epoch, near, recordsOf(record))
+	g.Expect(table.Submit(epoch, s).Answer.Outcome).To(gomega.Equal(wire.OutcomeComplete))
+}
+
+// Guards against answers that an entry handed over to one that was expelled later: their records at the agents are
+// filed under the entry that left.
+func TestRecoveryAsksForEntriesThatLeftClean(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, near, _ := recovery(g)
+	left := wire.Departed{ID: "c", Incarnation: 5, Clean: true, AtVersion: 3, At: epoch}
+	g.Expect(collected(table.Adopt(epoch, departed(table.List(), left)), near)).To(gomega.ConsistOf(uint64(1)), "no expulsion after it")
+	lost := wire.Departed{ID: "d", Incarnation: 6, AtVersion: 4, At: epoch}
+	g.Expect(collected(table.Adopt(epoch, departed(table.List(), lost)), near)).To(gomega.ConsistOf(uint64(1), uint64(5), uint64(6)))
+}
+
+// departed returns the successor of a list with one more departed entry.
+func departed(list *wire.EntryList, d wire.Departed) *wire.EntryList {
+	return &wire.EntryList{Version: d.AtVersion, Members: list.Members, Departed: append(slices.Clone(list.Departed), d)}
+}
+
+func collected(actions submission.Actions, from submission.AgentRef) []uint64 {
+	var all []uint64
+	for _, c := range actions.Collect {
+		if c.Agent == from {
+			all = append(all, c.Message.ExpelledIncarnation)
+		}
+	}
+	return all
+}
+
+// Guards against an entry that joins after an expulsion and takes the agents it happens to know for all of them.
+func TestJoinerWithoutRosterIsCareful(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := entry("b", 2)
+	table := submission.New(submission.Config{Retention: retention}, b)
+	table.Adopt(epoch, &wire.EntryList{
+		Version: 2, Members: []wire.Member{b}, Departed: []wire.Departed{{ID: "a", Incarnation: 1, AtVersion: 2, At: epoch}},
+	})
+	g.Expect(table.Submit(epoch, sub(0)).Answer.Reason).To(gomega.Equal(wire.ReasonRecovering))
+	table.RosterReceived(epoch, entry("c", 7), &wire.AgentRoster{Full: true, Heard: []uint64{1}})
+	g.Expect(table.Submit(epoch, sub(0)).Kind).To(gomega.Equal(submission.Run))
+}
+
+// Guards against a key that stays refused as recovering for a minute, and unknown for the whole window, although nothing
+// of it was started: its attempt was queued at an agent when the records were collected, and was refused there later.
+func TestKeyWhoseQueuedAttemptWasRefusedLaterCanRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	self := wire.Member{ID: "e1", Incarnation: 1, Address: "a:1", DataCentre: "d", State: wire.MemberActive}
+	lost := wire.Member{ID: "e2", Incarnation: 2, Address: "a:2", DataCentre: "d", State: wire.MemberActive}
+	agent := submission.AgentRef{ID: "w1", Incarnation: 7}
+	table := submission.New(submission.Config{}, self)
+	table.Adopt(now, &wire.EntryList{Version: 1, Members: []wire.Member{self, lost}})
+	table.AgentConnected(now, agent, now)
+	table.RosterReceived(now, lost, &wire.AgentRoster{Full: true})
+	table.InheritedReceived(now, lost, &wire.Inherited{ListVersion: 1, Last: true})
+	table.Adopt(now, &wire.EntryList{
+		Version: 2, Members: []wire.Member{self},
+		Departed: []wire.Departed{{ID: lost.ID, Incarnation: lost.Incarnation, AtVersion: 2, At: now}},
+	})
+	key := wire.KeyHash{9}
+	records := func(keys ...wire.KeyRecord) *wire.Records {
+		return &wire.Records{
+			Expelled: lost.ID, ExpelledIncarnation: lost.Incarnation, ListVersion: 2, Keys: keys, Last: true,
+		}
+	}
+	queued := wire.KeyRecord{Key: key, Tasks: 1, Done: []wire.TaskRecord{{Task: 0, State: wire.AttemptQueued}}}
+	table.RecordsReceived(now, agent, records(queued))
+	s := submission.Submission{Key: key, Deadline: now.Add(time.Minute)}
+	g.Expect(table.Submit(now, s).Kind).NotTo(gomega.Equal(submission.Run), "the attempt can still start")
+
+	now = now.Add(time.Second)
+	g.Expect(table.Tick(now).Collect).To(gomega.HaveLen(1), "the agent is asked again")
+	table.RecordsReceived(now, agent, records())
+	g.Expect(table.Submit(now, s).Kind).To(gomega.Equal(submission.Run))
+}
