Simplify the recovery and the handover of submissions

- The agents that have answered are a set of reporters, like the open tasks, in place of a map of maps.
- Searches by hand use the slices package; the search for a later run of an agent stood twice in the roster.
- handoverBatch builds its messages in place, without a map and a copy.

--- a/internal/submission/collect.go
+++ b/internal/submission/collect.go
@@ -1,15 +1,17 @@
 package submission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
-// sources returns the departed entries whose keys are recovered from the agents: those that were expelled, and those
-// that left clean before the last expulsion, because the expelled entry may have been the one that took their answers.
-func (t *Table) sources() []wire.Departed {
+// recoveredEntries returns the departed entries whose keys are recovered from the agents: those that were expelled, and
+// those that left clean before the last expulsion, because the expelled entry may have been the one that took their
+// answers.
+func (t *Table) recoveredEntries() []wire.Departed {
 	if t.list == nil {
 		return nil
 	}
@@ -28,13 +30,14 @@
 	return all
 }
 
-func (t *Table) isSource(incarnation uint64) bool {
-	for _, d := range t.sources() {
-		if d.Incarnation == incarnation {
-			return true
-		}
+// recoveredEntry returns the departed entry of an incarnation if its keys are recovered.
+func (t *Table) recoveredEntry(incarnation uint64) (d wire.Departed, ok bool) {
+	all := t.recoveredEntries()
+	i := slices.IndexFunc(all, func(d wire.Departed) bool { return d.Incarnation == incarnation })
+	if i < 0 {
+		return wire.Departed{}, false
 	}
-	return false
+	return all[i], true
 }
 
 // collectAll returns the questions to every agent with a link that has not answered, or whose answer listed open tasks.
@@ -54,9 +57,10 @@
 		return nil
 	}
 	var all []CollectFrom
-	for _, d := range t.sources() {
-		_, answered := t.round.answered[d.Incarnation][a.ref]
-		if !answered || len(t.recovered.open[reporter{a.ref, d.Incarnation}]) > 0 {
+	for _, d := range t.recoveredEntries() {
+		source := reporter{a.ref, d.Incarnation}
+		_, answered := t.round.answered[source]
+		if !answered || len(t.recovered.open[source]) > 0 {
 			all = append(all, t.question(a.ref, d))
 		}
 	}
@@ -88,10 +92,8 @@
 
 // reaskLater plans another question to an agent. If its link is lost meanwhile, AgentConnected asks.
 func (t *Table) reaskLater(now time.Time, source reporter) {
-	for _, r := range t.round.reasks {
-		if r.source == source {
-			return
-		}
+	if slices.ContainsFunc(t.round.reasks, func(r reask) bool { return r.source == source }) {
+		return
 	}
 	t.round.reasks = append(t.round.reasks, reask{source, now.Add(reaskInterval)})
 }
@@ -101,21 +103,15 @@
 	t.expire(now)
 	t.settle(now)
 	var actions Actions
-	n := 0
-	for n < len(t.round.reasks) && !t.round.reasks[n].at.After(now) {
-		r := t.round.reasks[n]
-		n++
-		a := t.roster.agents[r.source.agent]
-		if a == nil || !a.connected {
-			continue
-		}
-		for _, d := range t.sources() {
-			if d.Incarnation == r.source.departed {
-				actions.Collect = append(actions.Collect, t.question(r.source.agent, d))
-			}
+	for len(t.round.reasks) > 0 && !t.round.reasks[0].at.After(now) {
+		source := t.round.reasks[0].source
+		t.round.reasks = t.round.reasks[1:]
+		a := t.roster.agents[source.agent]
+		d, ok := t.recoveredEntry(source.departed)
+		if ok && a != nil && a.connected {
+			actions.Collect = append(actions.Collect, t.question(source.agent, d))
 		}
 	}
-	t.round.reasks = t.round.reasks[n:]
 	return actions
 }
 
--- a/internal/submission/handover.go
+++ b/internal/submission/handover.go
@@ -1,6 +1,7 @@
 package submission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
@@ -92,9 +93,8 @@
 // handoverBatch takes keys from the queue until one message is full, and returns a message for each home of them.
 func (t *Table) handoverBatch() []HandoverTo {
 	h := &t.handover
-	byHome := make(map[holderRef]*HandoverTo)
-	var out []*HandoverTo
-	for len(h.queue) > 0 {
+	var messages []HandoverTo
+	for full := false; len(h.queue) > 0 && !full; {
 		key := h.queue[0]
 		h.queue = h.queue[1:]
 		item, homes, ok := t.handoverItem(key)
@@ -104,32 +104,23 @@
 		if len(homes) == 0 {
 			h.orphans++
 		}
-		full := false
 		for _, home := range homes {
-			message := byHome[holderOf(home)]
-			if message == nil {
-				message = t.openHandover(home)
-				byHome[holderOf(home)] = message
-				out = append(out, message)
+			i := slices.IndexFunc(messages, func(m HandoverTo) bool { return placement.SameRun(m.To, home) })
+			if i < 0 {
+				i = len(messages)
+				messages = append(messages, t.openHandover(home))
 			}
-			full = t.addItem(message, item) || full
+			full = t.addItem(&messages[i], item) || full
 		}
-		if full {
-			break
-		}
-	}
-	messages := make([]HandoverTo, 0, len(out))
-	for _, message := range out {
-		messages = append(messages, *message)
 	}
 	return messages
 }
 
-func (t *Table) openHandover(home wire.Member) *HandoverTo {
+func (t *Table) openHandover(home wire.Member) HandoverTo {
 	h := &t.handover
 	h.sequence++
 	h.open[h.sequence] = openHandover{to: holderOf(home)}
-	return &HandoverTo{To: home, Message: &wire.Handover{Sequence: h.sequence, ListVersion: t.list.Version}}
+	return HandoverTo{To: home, Message: &wire.Handover{Sequence: h.sequence, ListVersion: t.list.Version}}
 }
 
 func (t *Table) addItem(to *HandoverTo, item wire.HandoverItem) (full bool) {
@@ -162,10 +153,7 @@
 	var homes []wire.Member
 	for _, r := range regions {
 		home, ok := placement.Home(t.list, r, key)
-		known := false
-		for _, h := range homes {
-			known = known || placement.SameRun(h, home)
-		}
+		known := slices.ContainsFunc(homes, func(h wire.Member) bool { return placement.SameRun(h, home) })
 		if ok && !known {
 			homes = append(homes, home)
 		}
--- a/internal/submission/inherit.go
+++ b/internal/submission/inherit.go
@@ -1,6 +1,7 @@
 package submission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
@@ -83,7 +84,7 @@
 			continue
 		}
 		ref := holderOf(home)
-		if !contains(seen, ref) {
+		if !slices.Contains(seen, ref) {
 			seen = append(seen, ref)
 			t.partition.keys[ref] = append(t.partition.keys[ref], key)
 		}
@@ -94,22 +95,9 @@
 func regionsOf(list *wire.EntryList) []string {
 	regions := []string{""}
 	for _, m := range list.Members {
-		known := false
-		for _, r := range regions {
-			known = known || r == m.Region
-		}
-		if !known {
+		if !slices.Contains(regions, m.Region) {
 			regions = append(regions, m.Region)
 		}
 	}
 	return regions
 }
-
-func contains(refs []holderRef, ref holderRef) bool {
-	for _, r := range refs {
-		if r == ref {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/submission/reports.go
+++ b/internal/submission/reports.go
@@ -31,7 +31,7 @@
 // running before, and that a whole answer does not list any more, was refused there and does not count any more.
 func (t *Table) RecordsReceived(now time.Time, from AgentRef, m *wire.Records) Actions {
 	t.expire(now)
-	if !t.current(m.ListVersion) || !t.isSource(m.ExpelledIncarnation) {
+	if _, ok := t.recoveredEntry(m.ExpelledIncarnation); !ok || !t.current(m.ListVersion) {
 		return Actions{}
 	}
 	source := reporter{from, m.ExpelledIncarnation}
@@ -65,7 +65,7 @@
 
 // endReport concludes from a whole answer. While the agent has open tasks it is asked again.
 func (t *Table) endReport(now time.Time, source reporter, r *report, expired bool) {
-	t.round.addAnswered(source)
+	t.round.answered[source] = struct{}{}
 	delete(t.round.reports, source)
 	if len(r.listed) > 0 {
 		t.reaskLater(now, source)
--- a/internal/submission/roster.go
+++ b/internal/submission/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -59,14 +60,8 @@
 	r.agents[ref] = a
 	runs := append(r.byID[ref.ID], a)
 	r.byID[ref.ID] = runs
-	latest := a
 	for _, run := range runs {
-		if run.startedAt.After(latest.startedAt) {
-			latest = run
-		}
-	}
-	for _, run := range runs {
-		if run != latest && run.startedAt.Before(latest.startedAt) {
+		if r.superseded(run) {
 			r.lose(run, now)
 		}
 	}
@@ -84,12 +79,7 @@
 
 // superseded tells whether a later run of the same agent is known.
 func (r *roster) superseded(a *agentInfo) bool {
-	for _, run := range r.byID[a.ref.ID] {
-		if run.startedAt.After(a.startedAt) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.byID[a.ref.ID], func(run *agentInfo) bool { return run.startedAt.After(a.startedAt) })
 }
 
 // expire forgets agents that no longer matter: lost ones after the window, silent ones after the memory.
@@ -105,13 +95,7 @@
 
 func (r *roster) forget(ref AgentRef, a *agentInfo) {
 	delete(r.agents, ref)
-	runs := r.byID[ref.ID]
-	kept := runs[:0]
-	for _, run := range runs {
-		if run != a {
-			kept = append(kept, run)
-		}
-	}
+	kept := slices.DeleteFunc(r.byID[ref.ID], func(run *agentInfo) bool { return run == a })
 	if len(kept) == 0 {
 		delete(r.byID, ref.ID)
 		return
--- a/internal/submission/round.go
+++ b/internal/submission/round.go
@@ -14,8 +14,8 @@
 	started time.Time
 	// members are the members that have not told what they hold.
 	members map[holderRef]struct{}
-	// answered has, for each expelled incarnation, the agents that sent all their records.
-	answered map[uint64]map[AgentRef]struct{}
+	// answered has the agents that sent all their records, by departed entry.
+	answered map[reporter]struct{}
 	// blind has the time at which an expelled entry was first seen whose agents are not known completely.
 	blind map[uint64]time.Time
 	// reports are the answers of agents of which not all parts have arrived.
@@ -38,7 +38,7 @@
 		version:  t.list.Version,
 		started:  now,
 		members:  make(map[holderRef]struct{}),
-		answered: make(map[uint64]map[AgentRef]struct{}),
+		answered: make(map[reporter]struct{}),
 		blind:    make(map[uint64]time.Time),
 		reports:  make(map[reporter]*report),
 	}
@@ -92,16 +92,6 @@
 	return Actions{Recheck: true}
 }
 
-// addAnswered notes that an agent sent all its records of a departed entry.
-func (r *round) addAnswered(source reporter) {
-	answered := r.answered[source.departed]
-	if answered == nil {
-		answered = make(map[AgentRef]struct{})
-		r.answered[source.departed] = answered
-	}
-	answered[source.agent] = struct{}{}
-}
-
 // mayRun decides on a key without records, entry or holder.
 func (t *Table) mayRun(now time.Time, s Submission) (Decision, bool) {
 	if t.isOwned(s) && !t.pointers.holderLost(t.list, s.Key) {
--- a/internal/submission/table.go
+++ b/internal/submission/table.go
@@ -22,8 +22,10 @@
 	round     round
 	partition partition
 	handover  handover
-	late      int
-	epoch     uint8
+	// late counts records of keys that already run here.
+	late int
+	// epoch counts the incarnations of this entry.
+	epoch uint8
 }
 
 // New returns the table of an entry; id, incarnation and region of self are used. It knows no list of entries.
--- a/internal/submission/verdict.go
+++ b/internal/submission/verdict.go
@@ -30,7 +30,7 @@
 	}
 	t.roster.expire(now)
 	v := verdict{at: now}
-	for _, d := range t.sources() {
+	for _, d := range t.recoveredEntries() {
 		t.judge(now, d, &v)
 	}
 	t.round.last = v
@@ -43,9 +43,8 @@
 	if _, heard := t.roster.heard[d.Incarnation]; !heard {
 		v.lose(now, t.round.blind[d.Incarnation], t.roster.window)
 	}
-	answered := t.round.answered[d.Incarnation]
 	for ref, a := range t.roster.agents {
-		if _, ok := answered[ref]; ok {
+		if _, ok := t.round.answered[reporter{ref, d.Incarnation}]; ok {
 			continue
 		}
 		if a.lost() {
