--- a/internal/e2e/store_test.go
+++ b/internal/e2e/store_test.go
@@ -91,6 +91,28 @@
 	c.expectNoRemoval(before)
 }
 
+// Guards against a planned stop that cuts requests when the list cannot be changed. Keys of the stopped entry have no home
+// until the store is back; the others go on.
+func TestEntryStoppedInAnOutageOfTheStore(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	c := newCluster(t, options{agents: 3})
+	b := c.startBalancer()
+	load := c.startLoad(4, &load{targets: b.targets, jobs: quickJob, doubled: 0.2, patience: 2 * time.Second})
+	c.storeFaults(map[string]any{"down": "close"})
+	time.Sleep(500 * time.Millisecond)
+	e := c.entries[1]
+	before := c.incarnations()
+	e.stop(stopLimit)
+	time.Sleep(500 * time.Millisecond)
+	s := load.verify()
+	g.Expect(s.broken).To(gomega.BeZero(), "requests were cut: %v", load.causes())
+	g.Expect(s.complete).To(gomega.BeNumerically(">", s.keys/2), "%v", s)
+	c.storeFaults(nil)
+	c.waitList(c.entries[0], 15*time.Second, "the stopped entry is removed", without(e.id, before[e.id]))
+	c.waitSettled(10 * time.Second)
+}
+
 // Guards against an entry that cannot be replaced, and stored answers that are lost, when the store loses the answers of
 // the writes that change the list.
 func TestEntriesReplacedWhileTheStoreLosesAnswers(t *testing.T) {
