--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/coltsfootspur/coltsfootspur/internal/deployment"
 	"github.com/coltsfootspur/coltsfootspur/internal/devcluster"
 	"github.com/coltsfootspur/coltsfootspur/internal/loadgen"
@@ -20,6 +23,7 @@
 	duration   time.Duration
 	seed       int
 	scale      float64
+	share      float64
 	json       bool
 	verbose    bool
 }
@@ -29,6 +33,8 @@
 	set.Duration(&s.duration, "duration", 0, 0, maxRunDuration, "time for which load is driven; 0 stays up without load")
 	set.Int(&s.seed, "seed", 1, 0, 1<<31-1, "seed of the load")
 	set.Factor(&s.scale, "demand", "factor by which the demand of the deployment is multiplied")
+	set.Custom("demand-share", "0", "steady demand as a share of the capacity instead of the swings of the deployment; 0 keeps the swings",
+		"number from 0 to 10", share(&s.share))
 	set.Bool(&s.json, "json", false, "print the result as one line of JSON and not indented")
 	set.Bool(&s.verbose, "verbose", false, "print the logs of all processes")
 	s.log.register(set)
@@ -47,6 +53,11 @@
 	if err != nil {
 		return reportError(std, err, ExitUsage)
 	}
+	if s.share > 0 {
+		for i := range d.Services {
+			d.Services[i].Load.Demand.Trough, d.Services[i].Load.Demand.Crest = s.share, s.share
+		}
+	}
 	options := devcluster.Options{Deployment: d}
 	if s.verbose {
 		options.Log = s.log.logger(std.err)
@@ -80,3 +91,18 @@
 	}
 	return runLoad(ctx, std, config, loadOutput{deployment: d.Name, json: s.json, progress: progress})
 }
+
+// maxDemandShare is the largest steady demand, ten times what the upstreams can do.
+const maxDemandShare = 10
+
+// share parses a share of the capacity.
+func share(target *float64) func(string) error {
+	return func(value string) error {
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(n >= 0 && n <= maxDemandShare) {
+			return eris.New("is out of range")
+		}
+		*target = n
+		return nil
+	}
+}
