Remove a message, a field and a reason that nothing uses

ForwardCancel and Job.Urgent were left over from the first draft of the messages, and retry_budget was never answered: a task whose retries are used up is unknown or complete. The list of documented reasons has 25 entries now. The document said that callers may mark requests as urgent; the kind itself is.

--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -39,7 +39,6 @@
 	wire.ReasonStopping:        {OutcomeNotRun, http.StatusServiceUnavailable, retrySoon},
 	wire.ReasonDeadline:        {OutcomeNotRun, http.StatusServiceUnavailable, retrySoon},
 	wire.ReasonUpstreamRefused: {OutcomeNotRun, http.StatusServiceUnavailable, retrySoon},
-	wire.ReasonRetryBudget:     {OutcomeNotRun, http.StatusServiceUnavailable, retrySoon},
 	wire.ReasonHomeUnreachable: {OutcomeUnknown, http.StatusServiceUnavailable, retryLater},
 	wire.ReasonRecovering:      {OutcomeUnknown, http.StatusServiceUnavailable, retryLater},
 	wire.ReasonExpelled:        {OutcomeUnknown, http.StatusServiceUnavailable, retryLater},
--- a/internal/api/status_test.go
+++ b/internal/api/status_test.go
@@ -41,6 +41,6 @@
 			g.Expect(api.RetryAfter(outcome, reason, 0)).To(gomega.Equal(row[3]), line)
 		}
 	}
-	const reasons = 26 // every reason; deadline and cancelled occur with both outcomes
+	const reasons = 25 // every reason; deadline and cancelled occur with both outcomes
 	g.Expect(rows).To(gomega.Equal(reasons))
 }
--- a/internal/document/fields.go
+++ b/internal/document/fields.go
@@ -61,7 +61,7 @@
 
 var kindFields = []field[Kind]{
 	{name: "name", required: true, meaning: "name of the kind", value: text(nameRule, func(k *Kind) *string { return &k.Name })},
-	{name: "urgent", fallback: "false", meaning: "whether callers may mark these requests as urgent", value: boolean(func(k *Kind) *bool { return &k.Urgent })},
+	{name: "urgent", fallback: "false", meaning: "whether these requests are served before all others", value: boolean(func(k *Kind) *bool { return &k.Urgent })},
 	{name: "idempotent", fallback: "false", meaning: "whether running a request twice does no harm; false keeps it from ever being started twice", value: boolean(func(k *Kind) *bool { return &k.Idempotent })},
 	{name: "deadline", unit: "duration", note: "the service's deadline", meaning: "time allowed for a job when the caller sets none", value: duration(minDeadline, wire.MaxDeadline, func(k *Kind) *time.Duration { return &k.Deadline })},
 	{name: "method", fallback: "POST", meaning: "HTTP method of the call to the upstream", value: text(methodRule, func(k *Kind) *string { return &k.Method })},
--- a/internal/document/service.go
+++ b/internal/document/service.go
@@ -40,7 +40,7 @@
 // Kind is one kind of request.
 type Kind struct {
 	Name string
-	// Urgent allows callers to mark requests of this kind as urgent.
+	// Urgent requests are served before all others.
 	Urgent bool
 	// Idempotent states that running a request twice does no harm.
 	Idempotent bool
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -31,7 +31,7 @@
 	LinkToken string
 	// CallerToken is required from callers that change state; empty allows every caller.
 	CallerToken string
-	// OperatorToken is required at the operator endpoints; empty allows every operator.
+	// OperatorToken is required at the operator endpoints, and required with AdminAddress.
 	OperatorToken string
 	// Retention is the time for which a submission is remembered. Default 10 min.
 	Retention time.Duration
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -10,31 +10,30 @@
 
 // Message types. A number is never used again with another meaning.
 const (
-	TypeHello         Type = 1
-	TypeWelcome       Type = 2
-	TypePing          Type = 3
-	TypePong          Type = 4
-	TypeStart         Type = 5
-	TypeAccepted      Type = 6
-	TypeResult        Type = 7
-	TypeCancel        Type = 8
-	TypeQuery         Type = 9
-	TypeQueryReply    Type = 10
-	TypeLeaving       Type = 11
-	TypeCollect       Type = 12
-	TypeRecords       Type = 13
-	TypeForward       Type = 14
-	TypeForwardReply  Type = 15
-	TypeForwardCancel Type = 16
-	TypeInherit       Type = 17
-	TypeInherited     Type = 18
-	TypeHandover      Type = 19
-	TypeHandoverAck   Type = 20
-	TypeEntryList     Type = 21
-	TypeDocumentPush  Type = 22
-	TypeDocumentPull  Type = 23
-	TypeQuotaUsage    Type = 24
-	TypeAgentRoster   Type = 25
+	TypeHello        Type = 1
+	TypeWelcome      Type = 2
+	TypePing         Type = 3
+	TypePong         Type = 4
+	TypeStart        Type = 5
+	TypeAccepted     Type = 6
+	TypeResult       Type = 7
+	TypeCancel       Type = 8
+	TypeQuery        Type = 9
+	TypeQueryReply   Type = 10
+	TypeLeaving      Type = 11
+	TypeCollect      Type = 12
+	TypeRecords      Type = 13
+	TypeForward      Type = 14
+	TypeForwardReply Type = 15
+	TypeInherit      Type = 17
+	TypeInherited    Type = 18
+	TypeHandover     Type = 19
+	TypeHandoverAck  Type = 20
+	TypeEntryList    Type = 21
+	TypeDocumentPush Type = 22
+	TypeDocumentPull Type = 23
+	TypeQuotaUsage   Type = 24
+	TypeAgentRoster  Type = 25
 )
 
 // MaxFrame is the largest frame in bytes that a process sends or accepts.
@@ -105,9 +104,6 @@
 // Type implements Message.
 func (*ForwardReply) Type() Type { return TypeForwardReply }
 
-// Type implements Message.
-func (*ForwardCancel) Type() Type { return TypeForwardCancel }
-
 // Type implements Message.
 func (*Inherit) Type() Type { return TypeInherit }
 
@@ -167,8 +163,6 @@
 		return new(Forward)
 	case TypeForwardReply:
 		return new(ForwardReply)
-	case TypeForwardCancel:
-		return new(ForwardCancel)
 	case TypeInherit:
 		return new(Inherit)
 	case TypeInherited:
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -299,8 +299,6 @@
 	Digest       [16]byte   `cbor:"5,keyasint"`
 	BudgetMillis uint32     `cbor:"6,keyasint"`
 	Tasks        []TaskSpec `cbor:"7,keyasint"`
-	// Urgent is set when the caller asked for urgency and the document allows it for the kind.
-	Urgent bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Outcome is the final outcome of a job or of one of its tasks.
@@ -372,11 +370,6 @@
 	List    *EntryList    `cbor:"4,keyasint,omitempty"`
 }
 
-// ForwardCancel tells that the caller of a forwarded request closed its connection.
-type ForwardCancel struct {
-	Request uint64 `cbor:"1,keyasint"`
-}
-
 // Inherit asks a member to adopt List and to name the keys of its table that now belong to the sender.
 type Inherit struct {
 	List *EntryList `cbor:"1,keyasint"`
--- a/internal/wire/reason.go
+++ b/internal/wire/reason.go
@@ -17,7 +17,6 @@
 	ReasonStopping        Reason = "stopping"
 	ReasonCancelled       Reason = "cancelled"
 	ReasonUpstreamRefused Reason = "upstream_refused"
-	ReasonRetryBudget     Reason = "retry_budget"
 	ReasonUnauthorized    Reason = "unauthorized"
 )
 
