--- a/internal/capacity/entry_bench_test.go
+++ b/internal/capacity/entry_bench_test.go
@@ -166,3 +166,25 @@
 	}
 	return nil
 }
+
+// BenchmarkEntryReconnect measures what an entry spends when n agents connect one after another, as after a switch came
+// back.
+func BenchmarkEntryReconnect(b *testing.B) {
+	for _, n := range []int{100, 365, 730} {
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
+			for range b.N {
+				d := startDeployment(b, 1, 1)
+				e := d.entries[0]
+				waitDocuments(b, e, 1)
+				before, cpu, began := e.metrics(b, "entry"), e.cpuSeconds(b), time.Now()
+				connectAgents(b, e, n, 1, 0)
+				elapsed := time.Since(began)
+				after := e.metrics(b, "entry")
+				bytes := after["control_bytes_sent"] + after["control_bytes_received"] - before["control_bytes_sent"] - before["control_bytes_received"]
+				b.ReportMetric(1e3*(e.cpuSeconds(b)-cpu)/float64(n), "cpu-ms/agent")
+				b.ReportMetric(bytes/float64(n), "linkB/agent")
+				b.ReportMetric(float64(n)/elapsed.Seconds(), "agents/s")
+			}
+		})
+	}
+}
