Keep the newer run of an agent, and measure work by the number of services

Two runs of an agent that were both welcomed before the first was taken into use could be taken in the wrong order, so that the older one replaced the newer and its attempts became unknown. The later start time wins now at that place too. It was found by reading; there is no test that brings the order about.

--- a/internal/capacity/entry_bench_test.go
+++ b/internal/capacity/entry_bench_test.go
@@ -83,18 +83,30 @@
 	for _, tasks := range []int{1, 20, 140} {
 		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
 			for range b.N {
-				measureWork(b, tasks)
+				measureWork(b, tasks, 1)
+			}
+		})
+	}
+}
+
+// BenchmarkEntryWorkServices measures what the number of service documents adds to the cost of a start. The work is that
+// of one service.
+func BenchmarkEntryWorkServices(b *testing.B) {
+	for _, services := range []int{1, 30, 120} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			for range b.N {
+				measureWork(b, 20, services)
 			}
 		})
 	}
 }
 
 // measureWork drives one entry with 100 light agents as fast as a fixed number of callers can.
-func measureWork(b *testing.B, tasks int) {
+func measureWork(b *testing.B, tasks, services int) {
 	const agents, work = 100, 20 * time.Millisecond
-	d := startDeployment(b, 1, 1)
+	d := startDeployment(b, 1, services)
 	e := d.entries[0]
-	waitDocuments(b, e, 1)
+	waitDocuments(b, e, services)
 	connectAgents(b, e, agents, 1, work)
 	waitFor(b, "the agents are connected", func() bool { return submit(e, "warm-up", 1) == nil })
 	before, cpu := e.metrics(b, "entry"), e.cpuSeconds(b)
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -43,6 +43,10 @@
 func (c *control) attachAgent(l *link.Link) {
 	hello := l.Peer().Hello
 	s := c.agents[hello.ID]
+	if s != nil && s.hello.Incarnation != hello.Incarnation && s.hello.StartedAt.After(hello.StartedAt) {
+		l.Close(errRestarted) // a newer run was welcomed after this one
+		return
+	}
 	if s != nil && s.hello.Incarnation != hello.Incarnation {
 		c.replaceAgent(s)
 		s = nil
