Make the memory for silent agents a setting of entries

Keys of a lost entry wait for agents that were lost with it for 2 h, which is meant for regions that lose contact for an hour. A deployment in one place can shorten that now.

--- a/internal/command/entry_settings.go
+++ b/internal/command/entry_settings.go
@@ -41,6 +41,8 @@
 	set.Int(&o.TableEntries, "table-entries", entry.DefaultTableEntries, minTableEntries, maxTableEntries,
 		"most submissions that are remembered")
 	set.Int(&s.tableMB, "table-mb", entry.DefaultTableBytes>>20, 1, maxTableMB, "memory in MiB for remembered answers")
+	set.Duration(&o.AgentMemory, "agent-memory", entry.DefaultAgentMemory, minRetention, maxRetention,
+		"how long a silent agent keeps keys of a lost entry from being run; the same for all entries, at least the retention")
 	set.Duration(&o.LeaseTTL, "lease-ttl", entry.DefaultLeaseTTL, minLeaseTTL, maxLeaseTTL, "time to live of the lease in the store")
 	set.Duration(&o.ExpulsionDelay, "expulsion-delay", entry.DefaultExpulsionDelay, time.Second, maxDelay,
 		"how long lease and link of another entry are gone before it is removed")
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -75,14 +75,19 @@
 		leaseGoneSince: make(map[uint64]time.Time), leaseMissing: make(chan struct{}, 1),
 		seen: newSnapshot(), records: records{interval: fullCheckInterval},
 	}
-	c.table = table.New(table.Config{
-		Retention: e.options.Retention, MaxEntries: e.options.TableEntries, MaxAnswerBytes: e.options.TableBytes,
-	}, c.self())
+	c.table = table.New(c.tableConfig(), c.self())
 	c.planQuotaReport()
 	c.planConfirmation()
 	return c
 }
 
+func (c *control) tableConfig() table.Config {
+	return table.Config{
+		Retention: c.options.Retention, AgentMemory: c.options.AgentMemory,
+		MaxEntries: c.options.TableEntries, MaxAnswerBytes: c.options.TableBytes,
+	}
+}
+
 // self returns this entry as a member of the list.
 func (c *control) self() wire.Member {
 	return wire.Member{
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -7,7 +7,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
-	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -253,7 +252,7 @@
 
 // departedKeep is the time for which departed entries stay in the list.
 func (c *control) departedKeep() time.Duration {
-	return table.Config{Retention: c.options.Retention}.DepartedKeep()
+	return c.tableConfig().DepartedKeep()
 }
 
 // changeTimeout bounds one change of the list with its repetitions.
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -8,6 +8,7 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
 )
 
 // Options configures an entry.
@@ -35,6 +36,10 @@
 	OperatorToken string
 	// Retention is the time for which a submission is remembered. Default 10 min.
 	Retention time.Duration
+	// AgentMemory is the time after which an agent that no entry has contact with is taken for dead, so that keys which it
+	// may have started for a lost entry can run. It is at least Retention. Default 2 h, more than the hour for which regions
+	// can lose contact with each other.
+	AgentMemory time.Duration
 	// TableEntries bounds the number of remembered submissions. Default 1,000,000.
 	TableEntries int
 	// TableBytes bounds the bytes of remembered answers. Default 64 MiB.
@@ -60,6 +65,7 @@
 // Defaults of Options.
 const (
 	DefaultRetention      = 10 * time.Minute
+	DefaultAgentMemory    = table.DefaultAgentMemory
 	DefaultTableEntries   = 1_000_000
 	DefaultTableBytes     = 64 << 20
 	DefaultLeaseTTL       = 15 * time.Second
@@ -70,6 +76,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.Retention, DefaultRetention)
+	setDefault(&o.AgentMemory, DefaultAgentMemory)
 	setDefault(&o.TableEntries, DefaultTableEntries)
 	setDefault(&o.TableBytes, DefaultTableBytes)
 	setDefault(&o.LeaseTTL, DefaultLeaseTTL)
