Begin without the failures of the former run when an agent is restarted

The attempts that were lost with its former run count as failures of the upstream, so while others were idle it was not chosen until its rate had recovered (time constant 30 s). A missing link was ruled out: it was connected to all entries within 10 ms. A new incarnation now clears what was learned about failures; learned times stay.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -166,6 +166,9 @@
 		up = &upstream{removed: true, roundTrip: coldRoundTrip}
 		e.upstreams[u.ID] = up
 	}
+	if up.Run != u.Run {
+		up.forgetFailures()
+	}
 	wasRemoved := up.removed
 	up.Upstream, up.removed = u, false
 	up.near = u.DataCentre == e.dataCentre
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -55,7 +55,9 @@
 
 // Upstream is what an agent announces. Empty Kinds stands for every kind of the service.
 type Upstream struct {
-	ID           string
+	ID string
+	// Run tells one run of the agent from another. A new run begins without the failures of the former one.
+	Run          uint64
 	DataCentre   string
 	Slots        int
 	Kinds        []string
--- a/internal/dispatch/rules_test.go
+++ b/internal/dispatch/rules_test.go
@@ -167,6 +167,27 @@
 	b.Expect(float64(failed) / float64(total)).To(gomega.BeNumerically("<", 0.02))
 }
 
+// TestRestartedAgentGetsWork guards against an upstream that stays without work because the attempts that its former agent
+// lost count as failures.
+func TestRestartedAgentGetsWork(t *testing.T) {
+	fast, slow := up("fast", 8), up("slow", 8)
+	b := newBed(t, Config{}, slow)
+	b.teach(slow, "k", 90*time.Millisecond, Succeeded, 10)
+	b.p.RemoveUpstream(b.now, "slow")
+	b.p.SetUpstream(b.now, fast)
+	b.teach(fast, "k", 50*time.Millisecond, Succeeded, 10)
+	b.teach(fast, "k", 50*time.Millisecond, Lost, 5)
+	b.p.SetUpstream(b.now, slow)
+	b.wait(100 * time.Millisecond) // the figures of the pool are reviewed now and then
+	b.submit(Job{Kind: "k"})
+	b.Expect(b.one().Upstream).To(gomega.Equal("slow"), "the former run loses everything")
+	b.p.RemoveUpstream(b.now, "fast")
+	fast.Run++
+	b.p.SetUpstream(b.now, fast)
+	b.submit(Job{Kind: "k"})
+	b.Expect(b.one().Upstream).To(gomega.Equal("fast"))
+}
+
 // TestRepairedUpstreamGetsWork guards against an upstream that stays without work after it was repaired.
 func TestRepairedUpstreamGetsWork(t *testing.T) {
 	b := newBed(t, Config{}, up("bad", 8))
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -138,3 +138,14 @@
 	age := float64(now-u.foreignAt) / float64(memory)
 	return math.Sqrt(u.foreignMean * age / (1 + age))
 }
+
+// forgetFailures clears what was learned about failures. Without it a restarted agent, whose lost attempts count as
+// failures, gets no work for half a minute while others are idle.
+func (u *upstream) forgetFailures() {
+	u.success = success{}
+	for i := range u.stats {
+		u.stats[i].success, u.stats[i].results = success{}, 0
+	}
+	u.failureRest, u.failureRestUntil, u.failedAt = 0, 0, 0
+	u.ejection.failures, u.ejection.next = 0, 0 // an ejected upstream is probed at once
+}
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -158,7 +158,7 @@
 		return
 	}
 	service.policy.SetUpstream(c.now, dispatch.Upstream{
-		ID: s.id, DataCentre: s.hello.DataCentre, Slots: service.document.SlotsOf(int(s.hello.Slots)),
+		ID: s.id, Run: s.hello.Incarnation, DataCentre: s.hello.DataCentre, Slots: service.document.SlotsOf(int(s.hello.Slots)),
 		MemoryMB: s.hello.MemoryMB, Accelerators: s.hello.Accelerators,
 	})
 }
