--- a/internal/command/service_file.go
+++ b/internal/command/service_file.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/document"
 )
 
 // readDocument reads a file up to one byte more than a document may have.
@@ -18,15 +20,18 @@
 	return io.ReadAll(io.LimitReader(file, wire.MaxDocument+1))
 }
 
-// loadDocument reads the file of the positional argument. It returns ok false and the exit code after an error.
-func (s *serviceCommand) loadDocument(std streams) (body []byte, exit int, ok bool) {
+// parseDocument reads and parses the file of the positional argument. It returns ok false and the exit code after an error.
+func (s *serviceCommand) parseDocument(std streams, out *output) (body []byte, parsed *document.Service, exit int, ok bool) {
 	if !s.needArgument(std, "file") {
-		return nil, ExitUsage, false
+		return nil, nil, ExitUsage, false
 	}
 	body, err := readDocument(s.argument)
 	if err != nil {
 		fmt.Fprintf(std.err, "coltsfootspur: the file cannot be read: %v\n", err)
-		return nil, ExitFailure, false
+		return nil, nil, ExitFailure, false
+	}
+	if parsed, err = document.Parse(body); err != nil {
+		return nil, nil, out.fail(err), false
 	}
-	return body, ExitOK, true
+	return body, parsed, ExitOK, true
 }
--- a/internal/command/service_put.go
+++ b/internal/command/service_put.go
@@ -64,14 +64,10 @@
 
 func (s *serviceEdit) put(ctx context.Context, std streams) int {
 	out := &output{std: std, json: s.json}
-	body, exit, ok := s.loadDocument(std)
+	body, parsed, exit, ok := s.parseDocument(std, out)
 	if !ok {
 		return exit
 	}
-	parsed, err := document.Parse(body)
-	if err != nil {
-		return out.fail(err)
-	}
 	return s.edit(ctx, out, func(ctx context.Context, e *document.Editor) error {
 		d, err := e.Put(ctx, document.Edit{Service: parsed.Name, Expected: s.expected, Author: s.author, Body: body})
 		if err == nil {
--- a/internal/command/service_validate.go
+++ b/internal/command/service_validate.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-
-	"github.com/coltsfootspur/coltsfootspur/internal/document"
 )
 
 // newServiceValidate returns the subcommand that checks a file without the store.
@@ -22,14 +20,10 @@
 
 func (s *serviceCommand) validate(_ context.Context, std streams) int {
 	out := &output{std: std, json: s.json}
-	body, exit, ok := s.loadDocument(std)
+	_, parsed, exit, ok := s.parseDocument(std, out)
 	if !ok {
 		return exit
 	}
-	parsed, err := document.Parse(body)
-	if err != nil {
-		return out.fail(err)
-	}
 	return out.result(validity{Valid: true, Service: parsed.Name}, func() {
 		fmt.Fprintf(std.out, "document of %s is valid\n", parsed.Name)
 	})
--- a/internal/submission/interleaving_test.go
+++ b/internal/submission/interleaving_test.go
@@ -170,10 +170,11 @@
 		}
 	case 1:
 		if member && h.alive {
-			w.list, _ = placement.MarkLeaving(w.list, m.ID, m.Incarnation)
-			if w.list == nil {
-				w.t.Skip("leaves twice")
+			next, err := placement.MarkLeaving(w.list, m.ID, m.Incarnation)
+			if err != nil {
+				return // it is leaving already
 			}
+			w.list = next
 			w.adopt(h, w.list)
 		}
 	case 2:
