Let idle connections end before not_run is expected of a refusing upstream

The log of the agent shows a refused connection and 2 ms later a lost answer: a request was written to a pooled connection that the upstream was just closing, and the agent cannot know that it did not run, so unknown is allowed. Whether the upstream counted a start was not read in that run.

--- a/internal/e2e/agent_test.go
+++ b/internal/e2e/agent_test.go
@@ -101,6 +101,9 @@
 	g.Expect(s.complete).To(gomega.Equal(s.keys), "tasks go to the upstream that is left: %v", s)
 
 	c.upstreamFaults(c.upstreams[3], map[string]any{"refuse": true})
+	// A request that is written to a pooled connection while the upstream closes it has an unknown outcome, truly. The
+	// agent sees the end of its idle connections first.
+	time.Sleep(500 * time.Millisecond)
 	j := newJob("charge", 1500*time.Millisecond, 20, 20)
 	r, err := submit(context.Background(), c.entries[0], j)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
