Close the first link by its hello in TestDiallersFollowTheList

The test entry appends a link to its list after the handshake, so the second link can be first in the list when the goroutine of the first is delayed. The test then closed the link of the wanted dialler, which rightly dials again. Ruled out: a second dialler for the same entry (the third hello carries list version 2, after the change of the list).

--- a/internal/agent/links_test.go
+++ b/internal/agent/links_test.go
@@ -176,7 +176,11 @@
 	alias := strings.Replace(e1.address, "127.0.0.1", "localhost", 1)
 	runAgent(t, "http://127.0.0.1:1", nil, func(o *agent.Options) { o.Entries = []string{alias} })
 	g.Eventually(e1.open, 5*time.Second).Should(gomega.HaveLen(2))
-	e1.open()[0].Close(link.ErrClosed) // the link to the configured address; the other one stays
+	for _, l := range e1.open() { // the order of open does not tell which link came first
+		if l.Peer().Hello.ListVersion == 0 {
+			l.Close(link.ErrClosed) // the link to the configured address; the other one stays
+		}
+	}
 	e2.waitLinked()
 	e3.waitLinked()
 	list := members(2, e1)
