Encrypt links and interfaces, with a certificate per process

Cause: links and interfaces were plain, and whoever had the shared link token could act as any entry or agent (docs/security.md). A certificate names the role and id of a process; the link layer refuses a hello or welcome under another name. Files are followed when they change, so certificates and the authority are rotated without a restart.

Weighed: a token per process (an entry would need those of all agents, and the store keeps no secrets); certificates from the site's authority were chosen.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -41,6 +42,8 @@
 	Address string
 	// Token is the bearer token of the endpoints that are not open.
 	Token string
+	// TLS makes the endpoints HTTPS; nil means HTTP.
+	TLS *tls.Config
 	// Role names the metrics of the process in /debug/vars.
 	Role string
 	Vars *Vars
@@ -112,7 +115,11 @@
 	}
 	server := &http.Server{Handler: s.echo, ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(s.listener) }()
+	listener := s.listener
+	if s.options.TLS != nil {
+		listener = tls.NewListener(listener, s.options.TLS)
+	}
+	go func() { failed <- server.Serve(listener) }()
 	select {
 	case err := <-failed:
 		s.listener = nil
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -88,6 +88,7 @@
 	}
 	server, err := admin.New(admin.Options{
 		Address: o.AdminAddress, Token: o.AdminToken, Role: "agent", Vars: a.vars, Log: o.Log, Ready: a.ready,
+		TLS:  o.ServerCertificate.ServerConfig(),
 		Dump: func(ctx context.Context) (any, error) { return a.Dump(ctx) }, Refresh: a.refreshMetrics,
 	})
 	if err != nil {
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/identity"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 )
 
@@ -66,6 +67,11 @@
 	Records int
 	// ResultBytes bounds the bytes of recorded results; 0 means DefaultResultBytes.
 	ResultBytes int
+	// LinkIdentity encrypts links and authenticates both ends by certificates; nil means plain TCP. It is set at all
+	// processes of a deployment or at none.
+	LinkIdentity *identity.Identity
+	// ServerCertificate makes the operator endpoints HTTPS; nil means HTTP.
+	ServerCertificate *identity.Certificate
 	// StopTimeout bounds the graceful shutdown; 0 means DefaultStopTimeout.
 	StopTimeout time.Duration
 	// AdminAddress is the host:port of the operator endpoints; when it is empty they are off.
@@ -129,7 +135,7 @@
 		o.Clock = clock.System{}
 	}
 	if o.Dialer == nil {
-		o.Dialer = link.WebSocketDialer{Token: o.LinkToken}
+		o.Dialer = link.WebSocketDialer{Token: o.LinkToken, TLS: o.LinkIdentity.ClientConfig()}
 	}
 }
 
--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -18,6 +18,7 @@
 type agentSettings struct {
 	set                    *settings.Set
 	log                    logSettings
+	tls                    tlsSettings
 	options                agent.Options
 	memoryMB, accelerators int
 	resultMB               int
@@ -40,6 +41,7 @@
 	set.Int(&s.accelerators, "accelerators", 0, 0, math.MaxUint16, "accelerators that the worker offers to tasks")
 	set.Int(&o.Records, "records", agent.DefaultRecords, 1, agent.MaxRecords, "most start records that are kept")
 	set.Int(&s.resultMB, "result-mb", agent.DefaultResultBytes>>20, 1, maxResultMB, "memory in MiB for recorded results")
+	s.tls.register(set, "the operator endpoints")
 	s.log.register(set)
 	s.addRules()
 }
@@ -87,6 +89,10 @@
 	s.options.MemoryMB = uint32(s.memoryMB)
 	s.options.Accelerators = uint16(s.accelerators)
 	s.options.ResultBytes = s.resultMB << 20
+	var err error
+	if s.options.LinkIdentity, s.options.ServerCertificate, err = s.tls.load(s.options.Log); err != nil {
+		return reportError(std, err, ExitUsage)
+	}
 	a, err := agent.New(s.options)
 	if err != nil {
 		return reportError(std, err, startExit(err))
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -29,6 +29,9 @@
 		return reportError(std, err, ExitUsage)
 	}
 	s.options.Store = store
+	if s.options.LinkIdentity, s.options.ServerCertificate, err = s.tls.load(logger); err != nil {
+		return reportError(std, err, ExitUsage)
+	}
 	for {
 		e, err := entry.New(s.options)
 		if err != nil {
--- a/internal/command/entry_settings.go
+++ b/internal/command/entry_settings.go
@@ -26,6 +26,7 @@
 	set     *settings.Set
 	log     logSettings
 	store   storeSettings
+	tls     tlsSettings
 	options entry.Options
 	tableMB int
 }
@@ -48,6 +49,7 @@
 		"how long lease and link of another entry are gone before it is removed")
 	set.Duration(&o.ReadinessDelay, "readiness-delay", entry.DefaultReadinessDelay, time.Millisecond, maxDelay,
 		"time between the fall of the readiness and the end of the listener")
+	s.tls.register(set, "callers and operators")
 	s.store.register(set)
 	s.log.register(set)
 	s.addRules()
--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -13,6 +13,7 @@
 	}
 	groups := []*group{
 		newServiceGroup(),
+		newCertificateGroup(),
 		newGroup("stand-in", "stand-ins for outside systems, for tests and trials",
 			standinPlatformCommand(),
 			standinUpstreamCommand(),
--- /dev/null
+++ b/internal/command/tls_settings.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"github.com/apex/log"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/identity"
+	"github.com/coltsfootspur/coltsfootspur/internal/settings"
+)
+
+// tlsSettings are the files for encrypted links and HTTPS interfaces, all in PEM format. They are read again when they
+// change.
+type tlsSettings struct {
+	linkCert, linkKey, linkCA string
+	serverCert, serverKey     string
+}
+
+// register adds the settings and their rules. interfaces names what the server certificate is for.
+func (s *tlsSettings) register(set *settings.Set, interfaces string) {
+	set.String(&s.linkCert, "link-cert", "", "file of the certificate of this process for links, PEM; empty for links without TLS", false)
+	set.String(&s.linkKey, "link-key", "", "file of the key of link-cert, PEM", false)
+	set.String(&s.linkCA, "link-ca", "", "file of the authorities that are trusted for links, PEM", false)
+	set.String(&s.serverCert, "server-cert", "", "file of the certificate for "+interfaces+", PEM; empty for HTTP without TLS", false)
+	set.String(&s.serverKey, "server-key", "", "file of the key of server-cert, PEM", false)
+	set.AddRule(settings.Rule{
+		Names:   []string{"link-cert", "link-key", "link-ca"},
+		Broken:  func() bool { return !sameEmptiness(s.linkCert, s.linkKey, s.linkCA) },
+		Problem: "belong together; allowed: all three or none",
+	})
+	set.AddRule(settings.Rule{
+		Names:   []string{"server-cert", "server-key"},
+		Broken:  func() bool { return !sameEmptiness(s.serverCert, s.serverKey) },
+		Problem: "belong together; allowed: both or none",
+	})
+}
+
+func sameEmptiness(values ...string) bool {
+	for _, v := range values {
+		if (v == "") != (values[0] == "") {
+			return false
+		}
+	}
+	return true
+}
+
+// load reads the files. Parts that are not set are nil. It returns identity.ErrFile.
+func (s *tlsSettings) load(logger log.Interface) (*identity.Identity, *identity.Certificate, error) {
+	var links *identity.Identity
+	var server *identity.Certificate
+	var err error
+	if s.linkCert != "" {
+		if links, err = identity.Load(s.linkCert, s.linkKey, s.linkCA, logger); err != nil {
+			return nil, nil, err
+		}
+	}
+	if s.serverCert != "" {
+		if server, err = identity.LoadCertificate(s.serverCert, s.serverKey, logger); err != nil {
+			return nil, nil, err
+		}
+	}
+	return links, server, nil
+}
--- a/internal/command/tools_test.go
+++ b/internal/command/tools_test.go
@@ -145,3 +145,24 @@
 	g.Expect(code).To(gomega.Equal(ExitFailure))
 	g.Expect(errors).To(gomega.ContainSubstring("counters cannot be read"))
 }
+
+// Guards against certificate subcommands that replace a key in use, or that issue a certificate that names nothing.
+func TestCertificateSubcommands(t *testing.T) {
+	g := gomega.NewWithT(t)
+	directory := t.TempDir()
+	code, out, _ := tool("certificate", "authority", "--directory", directory)
+	g.Expect(code).To(gomega.Equal(ExitOK))
+	g.Expect(out).To(gomega.ContainSubstring("ca-key.pem"))
+	code, _, errors := tool("certificate", "authority", "--directory", directory)
+	g.Expect(code).To(gomega.Equal(ExitFailure))
+	g.Expect(errors).To(gomega.ContainSubstring("file exists already"))
+	issue := []string{
+		"certificate", "issue", "--directory", directory, "--file", "e1",
+		"--ca", directory + "/ca.pem", "--ca-key", directory + "/ca-key.pem",
+	}
+	code, _, errors = tool(issue...)
+	g.Expect(code).To(gomega.Equal(ExitFailure))
+	g.Expect(errors).To(gomega.ContainSubstring("names neither a process nor a host"))
+	code, _, _ = tool(append(issue, "--entry", "e1")...)
+	g.Expect(code).To(gomega.Equal(ExitOK))
+}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -48,6 +48,8 @@
 	// relays puts a relay in front of the link address of each entry.
 	relays bool
 	slots  int
+	// arguments are further arguments of entries and agents.
+	arguments []string
 }
 
 // cluster is a deployment of separate processes.
@@ -152,12 +154,15 @@
 	if e.store != nil {
 		store = "http://" + e.store.address
 	}
-	e.process = start(c.t, e.id, "entry", "--id", e.id, "--data-centre", "ilica", "--region", "east",
+	arguments := append([]string{
+		"entry", "--id", e.id, "--data-centre", "ilica", "--region", "east",
 		"--caller-address", e.callers, "--link-address", e.links, "--advertise-address", e.advertised,
 		"--admin-address", e.admin, "--admin-token", token, "--link-token", linkToken, "--store", store,
 		"--lease-ttl", leaseTTL.String(), "--expulsion-delay", expulsionDelay.String(),
 		"--readiness-delay", readinessDelay.String(), "--store-timeout", "1s",
-		"--peers", strings.Join(c.linkAddresses(), ","))
+		"--peers", strings.Join(c.linkAddresses(), ","),
+	}, c.options.arguments...)
+	e.process = start(c.t, e.id, arguments...)
 }
 
 func (c *cluster) linkAddresses() []string {
@@ -187,10 +192,13 @@
 }
 
 func (c *cluster) startAgent(a *agent) {
-	a.process = start(c.t, a.id, "agent", "--id", a.id, "--data-centre", "ilica", "--region", "east",
-		"--services", service, "--entries", strings.Join(c.linkAddresses(), ","), "--upstream", "http://"+a.upstream.tasks,
+	arguments := append([]string{
+		"agent", "--id", a.id, "--data-centre", "ilica", "--region", "east",
+		"--services", service, "--entries", strings.Join(c.linkAddresses(), ","), "--upstream", "http://" + a.upstream.tasks,
 		"--link-token", linkToken, "--admin-address", a.admin, "--admin-token", token,
-		"--slots", fmt.Sprint(c.options.slots))
+		"--slots", fmt.Sprint(c.options.slots),
+	}, c.options.arguments...)
+	a.process = start(c.t, a.id, arguments...)
 }
 
 // client reads operator and control endpoints.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -133,8 +134,8 @@
 	failed := make(chan error, 2)
 	callers := e.httpServer(e.newCallerServer())
 	links := e.httpServer(http.HandlerFunc(e.serveLink))
-	go serve(callers, e.callers, failed)
-	go serve(links, e.links, failed)
+	go serve(callers, e.callers, e.options.ServerCertificate.ServerConfig(), failed)
+	go serve(links, e.links, e.options.LinkIdentity.ServerConfig(), failed)
 	go e.run(e.background)
 	services := e.supervise(e.background)
 	e.ready.Store(true)
@@ -160,7 +161,11 @@
 	return err
 }
 
-func serve(server *http.Server, listener net.Listener, failed chan<- error) {
+// serve serves over TLS when config is not nil.
+func serve(server *http.Server, listener net.Listener, config *tls.Config, failed chan<- error) {
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		failed <- eris.Wrap(err, "serve")
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/identity"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/platform"
 	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
@@ -30,6 +31,11 @@
 	Peers []string
 	// LinkToken authenticates processes of the system to each other.
 	LinkToken string
+	// LinkIdentity encrypts links and authenticates both ends by certificates; nil means plain TCP. It is set at all
+	// processes of a deployment or at none.
+	LinkIdentity *identity.Identity
+	// ServerCertificate makes the interfaces for callers and operators HTTPS; nil means HTTP.
+	ServerCertificate *identity.Certificate
 	// CallerToken is required from callers that change state; empty allows every caller.
 	CallerToken string
 	// OperatorToken is required at the operator endpoints, and required with AdminAddress.
@@ -87,7 +93,7 @@
 		o.Clock = clock.System{}
 	}
 	if o.Dialer == nil {
-		o.Dialer = link.WebSocketDialer{Token: o.LinkToken}
+		o.Dialer = link.WebSocketDialer{Token: o.LinkToken, TLS: o.LinkIdentity.ClientConfig()}
 	}
 	if o.Log == nil {
 		o.Log = log.Log
--- a/internal/entry/supervise.go
+++ b/internal/entry/supervise.go
@@ -44,6 +44,7 @@
 	return admin.New(admin.Options{
 		Address: e.options.AdminAddress, Token: e.options.OperatorToken, Role: "entry", Vars: e.control.metrics.vars,
 		Ready: e.readiness, Dump: e.Dump, Refresh: e.refreshMetrics, Log: e.log,
+		TLS: e.options.ServerCertificate.ServerConfig(),
 	})
 }
 
--- a/internal/link/handshake.go
+++ b/internal/link/handshake.go
@@ -6,9 +6,30 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/identity"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
+// authenticated is a Conn that knows from a certificate which process its peer is.
+type authenticated interface {
+	// mayBe reports whether the peer may call itself the process. It is true on a connection without certificates.
+	mayBe(role identity.Role, id string) bool
+}
+
+const notInCertificate = "the certificate does not name this process"
+
+// mayBe reports whether the peer of the connection may call itself the process.
+func mayBe(conn Conn, role wire.Role, id string) bool {
+	a, ok := conn.(authenticated)
+	if !ok {
+		return true
+	}
+	if role == wire.RoleAgent {
+		return a.mayBe(identity.Agent, id)
+	}
+	return a.mayBe(identity.Entry, id)
+}
+
 // Dial opens a connection, sends hello and waits for the answer. It returns ErrDial, ErrHandshake or ErrRefused.
 // The link carries messages only after Start.
 func Dial(ctx context.Context, dialer Dialer, address string, hello wire.Hello, options Options) (*Link, *wire.Welcome, error) {
@@ -24,6 +45,10 @@
 		_ = conn.Close()
 		return nil, nil, err
 	}
+	if !mayBe(conn, wire.RoleEntry, welcome.ID) {
+		_ = conn.Close()
+		return nil, nil, eris.Wrapf(ErrRefused, "entry %q at %s: %s", welcome.ID, address, notInCertificate)
+	}
 	peer := Peer{Dialled: true, Hello: wire.Hello{
 		Protocol: welcome.Protocol, Role: wire.RoleEntry, ID: welcome.ID, Incarnation: welcome.Incarnation,
 		DataCentre: welcome.DataCentre, Region: welcome.Region, DocumentRevisions: welcome.DocumentRevisions,
@@ -78,9 +103,12 @@
 		return nil, eris.Wrap(ErrHandshake, "peer did not begin with a hello")
 	}
 	var welcome *wire.Welcome
-	if hello.Protocol != wire.ProtocolVersion {
+	switch {
+	case hello.Protocol != wire.ProtocolVersion:
 		welcome = &wire.Welcome{Refused: "protocol version is not supported"}
-	} else {
+	case !mayBe(conn, hello.Role, hello.ID):
+		welcome = &wire.Welcome{Refused: notInCertificate}
+	default:
 		welcome = decide(hello)
 	}
 	welcome.Protocol = wire.ProtocolVersion
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/coder/websocket"
 	"github.com/rotisserie/eris"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/identity"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -47,25 +49,33 @@
 // WebSocketDialer opens WebSocket connections and authenticates with the link token.
 type WebSocketDialer struct {
 	Token string
+	// TLS encrypts the links and shows the certificate of the process; nil means plain TCP. The peer's certificate must then
+	// name the entry that answers.
+	TLS *tls.Config
 	// DialContext replaces the TCP dialer when it is set.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Dial implements Dialer.
 func (d WebSocketDialer) Dial(ctx context.Context, address string) (Conn, error) {
+	transport := &http.Transport{DialContext: d.DialContext, TLSClientConfig: d.TLS, DisableKeepAlives: true}
 	options := &websocket.DialOptions{
 		HTTPHeader:      http.Header{"Authorization": {bearerPrefix + d.Token}},
 		CompressionMode: websocket.CompressionDisabled,
-		HTTPClient:      &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true}},
+		HTTPClient:      &http.Client{Transport: transport},
 	}
-	conn, response, err := websocket.Dial(ctx, "ws://"+address+Path, options)
+	scheme := "ws://"
+	if d.TLS != nil {
+		scheme = "wss://"
+	}
+	conn, response, err := websocket.Dial(ctx, scheme+address+Path, options)
 	if err != nil {
 		if response != nil && response.StatusCode == http.StatusUnauthorized {
 			return nil, eris.Wrapf(ErrRefused, "%s: link token does not match", address)
 		}
 		return nil, eris.Wrapf(ErrDial, "%s: %v", address, err)
 	}
-	return newWebSocketConn(conn), nil
+	return newWebSocketConn(conn, response.TLS), nil
 }
 
 const bearerPrefix = "Bearer "
@@ -87,14 +97,25 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrHandshake, "%v", err)
 	}
-	return newWebSocketConn(conn), nil
+	return newWebSocketConn(conn, r.TLS), nil
 }
 
-type webSocketConn struct{ conn *websocket.Conn }
+// webSocketConn is a Conn over a WebSocket connection.
+type webSocketConn struct {
+	conn *websocket.Conn
+	// names are those of the peer's certificate. They count only when encrypted is set.
+	names     identity.Names
+	encrypted bool
+}
 
-func newWebSocketConn(conn *websocket.Conn) webSocketConn {
+func newWebSocketConn(conn *websocket.Conn, state *tls.ConnectionState) webSocketConn {
 	conn.SetReadLimit(wire.MaxFrame)
-	return webSocketConn{conn}
+	return webSocketConn{conn: conn, names: identity.PeerNames(state), encrypted: state != nil}
+}
+
+// mayBe implements authenticated.
+func (c webSocketConn) mayBe(role identity.Role, id string) bool {
+	return !c.encrypted || c.names.Has(role, id)
 }
 
 func (c webSocketConn) ReadFrame(ctx context.Context) ([]byte, error) {
