Let a document list the tokens of its service's callers

Cause: one caller token for all teams, so that a caller of one team could use the services of all. A team owns its document, so the digests of its callers' tokens stand there and change without a restart.

Weighed: tokens per team in the settings (needs a restart of every entry for each change) and client certificates (a burden for shops and workshops).

--- a/internal/document/fields.go
+++ b/internal/document/fields.go
@@ -9,16 +9,18 @@
 
 // Limits of the fields of a document.
 const (
-	maxKinds       = 64
-	maxUpstreams   = 2000
-	maxSlots       = 1024
-	maxConnections = 4096
-	maxRate        = 1_000_000
-	maxMemoryMB    = 16 << 20
-	maxAccelerator = 1024
-	minDeadline    = 10 * time.Millisecond
-	minProbeAfter  = 100 * time.Millisecond
-	maxProbeAfter  = 10 * time.Minute
+	maxKinds     = 64
+	maxUpstreams = 2000
+	// maxCallerTokens leaves room for a token per caller and the next one of each during a rotation.
+	maxCallerTokens = 32
+	maxSlots        = 1024
+	maxConnections  = 4096
+	maxRate         = 1_000_000
+	maxMemoryMB     = 16 << 20
+	maxAccelerator  = 1024
+	minDeadline     = 10 * time.Millisecond
+	minProbeAfter   = 100 * time.Millisecond
+	maxProbeAfter   = 10 * time.Minute
 )
 
 // Rules for texts.
@@ -35,6 +37,7 @@
 		regexp.MustCompile(`^/[!"$-~]{0,999}$`),
 		"path of up to 1000 bytes that begins with '/', without blanks and '#'",
 	}
+	digestRule = rule{regexp.MustCompile(`^[0-9a-f]{64}$`), "SHA-256 of a token as 64 lower-case hexadecimal digits"}
 	methodRule = rule{
 		regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE)$`),
 		"GET, HEAD, POST, PUT, PATCH or DELETE",
@@ -46,6 +49,7 @@
 	{name: "service", required: true, meaning: "name of the service; callers use it in URLs", value: text(nameRule, func(s *Service) *string { return &s.Name })},
 	{name: "team", required: true, meaning: "team that owns the document", value: text(nameRule, func(s *Service) *string { return &s.Team })},
 	{name: "kinds", required: true, meaning: "kinds of request", value: objects(kindFields, 1, maxKinds, func(s *Service) *[]Kind { return &s.Kinds })},
+	{name: "caller_tokens", note: "what the settings of the entries ask for", meaning: "SHA-256 of each bearer token that callers of this service may use", value: texts(digestRule, maxCallerTokens, func(s *Service) *[]string { return &s.CallerTokens })},
 	{name: "upstreams", meaning: "upstreams that may serve the service: those listed by id or by data centre", note: "every upstream that announces the service", value: object(upstreamFields, func(s *Service) *Upstreams { return &s.Upstreams })},
 	{name: "slots", unit: "tasks", fallback: "0", note: "what the agent announces", meaning: "tasks at a time on each upstream, at most what its agent announces", value: integer(0, maxSlots, func(s *Service) *int { return &s.Slots })},
 	{name: "connections", unit: "connections", fallback: "64", meaning: "largest number of connections from an agent to its upstream", value: integer(1, maxConnections, func(s *Service) *int { return &s.Connections })},
--- a/internal/document/service.go
+++ b/internal/document/service.go
@@ -16,6 +16,9 @@
 	// Team owns the document.
 	Team  string
 	Kinds []Kind
+	// CallerTokens are the SHA-256 digests, in hexadecimal, of the bearer tokens of the callers. Empty leaves the access to
+	// the settings of the entries.
+	CallerTokens []string
 	// Upstreams restricts which upstreams may serve the service.
 	Upstreams Upstreams
 	// Slots is the number of tasks at a time per upstream; 0 means what its agent announces.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,6 +44,7 @@
 	linkStats  link.Stats
 	lease      heldLease
 	versions   versions
+	access     atomic.Pointer[callerAccess]
 	inProgress atomic.Int64
 	ready      atomic.Bool
 	storeDown  atomic.Bool
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -10,7 +10,6 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/api"
-	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
@@ -31,7 +30,7 @@
 
 func (e *Entry) authorizeCaller(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if e.options.CallerToken != "" && !link.Authorized(c.Request(), e.options.CallerToken) {
+		if !e.mayCall(c.Request(), c.Param("service")) {
 			c.Response().Header().Set("WWW-Authenticate", "Bearer")
 			return refuse(c, wire.ReasonUnauthorized, "the caller's token is missing or wrong")
 		}
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -31,6 +31,7 @@
 		c.services[name] = s
 	}
 	s.revision, s.document = revision, d
+	c.publishAccess()
 	s.policy.SetConfig(c.now, policyConfig(d))
 	for _, session := range c.agents {
 		c.offerIfServing(s, session)
@@ -58,6 +59,7 @@
 		}
 	}
 	delete(c.services, name)
+	c.publishAccess()
 	c.log.WithField("service", name).Info("document: service deleted")
 }
 
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -83,10 +83,15 @@
 // Authorized reports whether the request carries the bearer token. The comparison takes constant time. An empty token
 // authorizes nobody.
 func Authorized(r *http.Request, token string) bool {
-	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	given, ok := Bearer(r)
 	return ok && token != "" && subtle.ConstantTimeCompare([]byte(given), []byte(token)) == 1
 }
 
+// Bearer returns the bearer token that the request carries.
+func Bearer(r *http.Request) (token string, ok bool) {
+	return strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+}
+
 // Upgrade turns an HTTP request for Path into a connection. On error the response was already written.
 func Upgrade(w http.ResponseWriter, r *http.Request, token string) (Conn, error) {
 	if !Authorized(r, token) {
