Let a member stop without the store in the state machines

An entry that stops in an outage of the store cannot change the list, so its keys have no home until the store is back. A stopping member now states by itself that it takes no new key with this incarnation (wire.Stopped). The statement travels beside the list and holds under any list. The others treat the member as leaving and search as after a change of the list: each new home asks every member that is not done, the stopping one too. When every new home has confirmed what it took over, the member states that it is done; then it counts as departed clean.

Ruled out: a sub-version of the list, because two members that stop at a time would make two lists of one number; a grant per key range, because it has to be handed on from one stopping entry to the next. Statements only add up, and a member is home of a key when all with a higher weight have stated that they stopped, so no order between them is needed.

Agents need the statements too: with the plain list an agent leaves out of its answer to Collect the records of keys whose home stopped. Answers to an earlier search do not count, for the same reason at members.

--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -7,7 +7,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
-	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -116,18 +115,19 @@
 	if !c.records.Adopt(list) {
 		return
 	}
-	c.agent.versions.list.Store(list.Version)
-	c.options.Log.WithField("version", list.Version).Info("agent: adopted list of entries")
+	version := c.records.List().Version
+	c.agent.versions.list.Store(version)
+	c.options.Log.WithField("version", version).Info("agent: adopted list of entries")
 	c.targets.update(c.now())
-	c.fenceWaiting(list)
+	c.fenceWaiting()
 }
 
-func (c *control) fenceWaiting(list *wire.EntryList) {
+func (c *control) fenceWaiting() {
 	for _, a := range c.attempts {
 		if !a.waits() || a.start.ListVersion == 0 {
 			continue
 		}
-		if _, ok := placement.Find(list, a.start.Home, a.start.HomeIncarnation); !ok {
+		if !c.records.IsMember(a.start.Home, a.start.HomeIncarnation) {
 			c.drop(a)
 			c.refuse(a, wire.RefusedFenced)
 		}
--- a/internal/agent/records/admit.go
+++ b/internal/agent/records/admit.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -83,7 +82,7 @@
 	if s.ListVersion < t.list.Version {
 		return wire.RefusedStaleList
 	}
-	if _, ok := placement.Find(t.list, s.Home, s.HomeIncarnation); !ok {
+	if !t.IsMember(s.Home, s.HomeIncarnation) {
 		return wire.RefusedFenced
 	}
 	return wire.RefusedNone
@@ -155,7 +154,7 @@
 	case wire.RefusedNone:
 		result.State = wire.AttemptNeverSeen
 	case wire.RefusedStaleList, wire.RefusedFenced:
-		result.List = t.list
+		result.List = t.received
 	case wire.RefusedDuplicate:
 		recorded := why.of.final()
 		if why.foreign {
--- a/internal/agent/records/collect.go
+++ b/internal/agent/records/collect.go
@@ -30,7 +30,7 @@
 	t.Expire(now)
 	t.Adopt(c.List)
 	if placement.Version(t.list) > placement.Version(c.List) {
-		return nil, t.list
+		return nil, t.received
 	}
 	member, ok := placement.Find(t.list, asker, askerIncarnation)
 	if !ok || member.State != wire.MemberActive {
@@ -44,6 +44,7 @@
 		ListVersion:         t.list.Version,
 		Answer:              t.answers,
 		Expired:             expired,
+		Round:               c.Round,
 	}}
 	for r := t.byHome[c.ExpelledIncarnation]; r != nil; r = r.next {
 		if placement.MayBeHome(t.list, member, r.id.key) {
--- a/internal/agent/records/records.go
+++ b/internal/agent/records/records.go
@@ -121,17 +121,18 @@
 
 // Table holds the start records of one agent.
 type Table struct {
-	cfg        Config
-	list       *wire.EntryList
-	byTask     map[taskID]*record
-	byAttempt  map[Ref]*record
-	byHome     map[uint64]*record
-	finished   fifo[*record]
-	withResult fifo[*record]
-	bytes      int
-	refused    map[Ref]refusal
-	refusals   fifo[refusalExpiry]
-	floors     map[uint64]floor
+	cfg Config
+	// received is the list as it came; list is what the statements in it make of it.
+	received, list *wire.EntryList
+	byTask         map[taskID]*record
+	byAttempt      map[Ref]*record
+	byHome         map[uint64]*record
+	finished       fifo[*record]
+	withResult     fifo[*record]
+	bytes          int
+	refused        map[Ref]refusal
+	refusals       fifo[refusalExpiry]
+	floors         map[uint64]floor
 	// forgotten has, for each home incarnation, the highest attempt whose record has expired. An attempt up to it that
 	// has no record may have been started.
 	forgotten map[uint64]uint64
@@ -162,14 +163,15 @@
 	}
 }
 
-// Adopt takes over a list with a higher version and reports whether it did. From then on starts of entries that are
-// no member of it are refused.
+// Adopt takes over a list with a higher version, or with news of members that stopped without the store, and reports
+// whether it did. From then on starts of entries that are no member of it are refused.
 func (t *Table) Adopt(list *wire.EntryList) bool {
 	var adopted bool
-	t.list, adopted = placement.Newer(t.list, list)
+	t.received, adopted = placement.Merge(t.received, list)
 	if !adopted {
 		return false
 	}
+	t.list = placement.Effective(t.received)
 	if len(t.forgotten) > maxForgotten {
 		t.pruneForgotten()
 	}
@@ -178,7 +180,13 @@
 }
 
 // List returns the highest list that was adopted; nil before the first. It must not be changed.
-func (t *Table) List() *wire.EntryList { return t.list }
+func (t *Table) List() *wire.EntryList { return t.received }
+
+// IsMember tells whether an entry may start keyed jobs under the list in use.
+func (t *Table) IsMember(id string, incarnation uint64) bool {
+	_, ok := placement.Find(t.list, id, incarnation)
+	return ok
+}
 
 // Stats are the sizes of a Table.
 type Stats struct {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -153,3 +153,37 @@
 		placement.Home(list, "", key)
 	}
 }
+
+// Guards against a statement that is lost with a newer list, that outlives its member or that is made for another run,
+// and against a member that departs so late in the count that an expulsion of whoever took its table over seems to
+// come before it.
+func TestStoppedMembers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	list := listOf(3)
+	stops, err := placement.Stop(list, "entry-0", 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = placement.Stop(list, "entry-0", 9)
+	g.Expect(err).To(gomega.MatchError(placement.ErrNotMember))
+	g.Expect(placement.Effective(stops).Members[0].State).To(gomega.Equal(wire.MemberLeaving))
+	done, err := placement.Done(stops, "entry-0", 1, epoch)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+
+	expelled, err := placement.Expel(list, "entry-1", 2, epoch)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	merged, changed := placement.Merge(done, expelled)
+	g.Expect(changed).To(gomega.BeTrue())
+	g.Expect(merged.Version).To(gomega.Equal(expelled.Version))
+	g.Expect(merged.Stopped).To(gomega.Equal(done.Stopped))
+	_, changed = placement.Merge(merged, stops)
+	g.Expect(changed).To(gomega.BeFalse(), "an older statement arrives late")
+
+	_, err = placement.RemoveStopped(expelled, stops.Stopped[0])
+	g.Expect(err).To(gomega.MatchError(placement.ErrNotStopped))
+	removed, err := placement.RemoveStopped(expelled, done.Stopped[0])
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(placement.Validate(removed)).To(gomega.Succeed())
+	g.Expect(removed.Departed[1].Clean).To(gomega.BeTrue())
+	g.Expect(removed.Departed[1].AtVersion).To(gomega.Equal(removed.Departed[0].AtVersion))
+	merged, _ = placement.Merge(merged, removed)
+	g.Expect(merged.Stopped).To(gomega.BeEmpty())
+}
--- a/internal/submission/adopt.go
+++ b/internal/submission/adopt.go
@@ -35,22 +35,28 @@
 	Recheck bool
 }
 
-// Adopt takes over a list if its version is higher.
+// Adopt takes over a list if its version is higher, and statements of members that stop without the store.
 func (t *Table) Adopt(now time.Time, list *wire.EntryList) Actions {
-	former := t.list
-	next, adopted := placement.Newer(former, list)
+	known, adopted := placement.Merge(t.received, list)
 	if !adopted {
 		return Actions{}
 	}
+	return t.use(now, known)
+}
+
+func (t *Table) use(now time.Time, known *wire.EntryList) Actions {
+	former, next := t.list, placement.Effective(known)
+	news := moreStopped(t.received, known)
 	t.settle(now)
-	t.list = next
+	t.received, t.list = known, next
 	t.forgetMembers(now, former)
-	if t.inherits(former, next) {
+	if t.inherits(former, next) || news {
 		t.restart(now)
 	} else {
 		t.round.keepMembers(next)
 	}
-	t.noteOwned(next)
+	t.partition = partition{}
+	t.noteOwned(former, next)
 	t.round.dirty = true
 	t.handover.restart(t)
 	_, was := placement.Find(former, t.self.ID, t.self.Incarnation)
@@ -90,9 +96,18 @@
 	})
 }
 
-// noteOwned extends the lists under all of which a key must belong to this entry to count as owned.
-func (t *Table) noteOwned(next *wire.EntryList) {
-	if len(t.owned) == 0 {
+// moreStopped tells whether next has a statement about a member that former has not.
+func moreStopped(former, next *wire.EntryList) bool {
+	if former == nil {
+		return len(next.Stopped) > 0
+	}
+	return slices.ContainsFunc(next.Stopped, func(s wire.Stopped) bool { return !slices.Contains(former.Stopped, s) })
+}
+
+// noteOwned extends the lists under all of which a key must belong to this entry to count as owned. Statements alone
+// take no key from an entry that made none.
+func (t *Table) noteOwned(former, next *wire.EntryList) {
+	if len(t.owned) == 0 || placement.Version(former) == next.Version {
 		return
 	}
 	if len(t.owned) >= maxOwnedLists {
--- a/internal/submission/collect.go
+++ b/internal/submission/collect.go
@@ -69,7 +69,7 @@
 
 func (t *Table) question(ref AgentRef, d wire.Departed) CollectFrom {
 	return CollectFrom{Agent: ref, Message: &wire.Collect{
-		List: t.list, Expelled: d.ID, ExpelledIncarnation: d.Incarnation,
+		List: t.received, Expelled: d.ID, ExpelledIncarnation: d.Incarnation, Round: t.round.number,
 	}}
 }
 
--- a/internal/submission/handover.go
+++ b/internal/submission/handover.go
@@ -184,10 +184,13 @@
 	t.expire(now)
 	if own := placement.Version(t.list); m.ListVersion != own {
 		if own > m.ListVersion {
-			return false, t.list
+			return false, t.received
 		}
 		return false, nil
 	}
+	if !t.isActive() {
+		return false, t.received
+	}
 	for i := range m.Items {
 		t.takeItem(now, &m.Items[i])
 	}
--- a/internal/submission/inherit.go
+++ b/internal/submission/inherit.go
@@ -24,7 +24,7 @@
 func (t *Table) InheritReceived(now time.Time, asker wire.Member, m *wire.Inherit) (InheritAnswer, Actions) {
 	actions := t.Adopt(now, m.List)
 	if placement.Version(t.list) > placement.Version(m.List) {
-		return InheritAnswer{Newer: t.list}, actions
+		return InheritAnswer{Newer: t.received}, actions
 	}
 	t.expire(now)
 	if t.list == nil {
@@ -32,29 +32,28 @@
 	}
 	return InheritAnswer{
 		Roster: t.FullRoster(now),
-		Parts:  inheritedParts(t.list.Version, t.keysOf(asker)),
+		Parts:  inheritedParts(t.list.Version, m.Round, t.keysOf(asker)),
 	}, actions
 }
 
-func inheritedParts(version uint64, keys []wire.KeyHash) []*wire.Inherited {
+func inheritedParts(version, round uint64, keys []wire.KeyHash) []*wire.Inherited {
 	var parts []*wire.Inherited
 	for len(keys) > maxInheritedKeys {
-		parts = append(parts, &wire.Inherited{ListVersion: version, Keys: keys[:maxInheritedKeys]})
+		parts = append(parts, &wire.Inherited{ListVersion: version, Round: round, Keys: keys[:maxInheritedKeys]})
 		keys = keys[maxInheritedKeys:]
 	}
-	return append(parts, &wire.Inherited{ListVersion: version, Keys: keys, Last: true})
+	return append(parts, &wire.Inherited{ListVersion: version, Round: round, Keys: keys, Last: true})
 }
 
 // partition has the keys of this table that belong to other members. It is made once per list, because after the
 // adoption of a list no key of another member enters the table.
 type partition struct {
-	version uint64
-	keys    map[holderRef][]wire.KeyHash
+	keys map[holderRef][]wire.KeyHash
 }
 
 func (t *Table) keysOf(asker wire.Member) []wire.KeyHash {
-	if t.partition.version != t.list.Version {
-		t.partition = partition{version: t.list.Version, keys: make(map[holderRef][]wire.KeyHash)}
+	if t.partition.keys == nil {
+		t.partition = partition{keys: make(map[holderRef][]wire.KeyHash)}
 		regions := regionsOf(t.list)
 		for key, slot := range t.store.index {
 			t.assign(key, t.regionsOfEntry(t.store.at(slot).region, regions))
--- a/internal/submission/interleaving_test.go
+++ b/internal/submission/interleaving_test.go
@@ -41,15 +41,15 @@
 		for len(w.queues) > 0 {
 			w.deliver()
 		}
-	case n < 52:
+	case n < 51:
 		w.stepAgent()
-	case n < 70:
+	case n < 69:
 		w.stepJob()
-	case n < 84:
+	case n < 80:
 		w.stepCaller()
-	case n < 88:
+	case n < 84:
 		w.stepLink()
-	case n < 94:
+	case n < 92:
 		w.stepEntry()
 	case n < 97:
 		w.stepList()
@@ -148,14 +148,18 @@
 	if !h.alive {
 		return
 	}
-	switch w.draw(3, "entry action") {
+	switch w.draw(4, "entry action") {
 	case 0:
-		w.adopt(h, w.list)
+		if !w.outage {
+			w.adopt(h, w.list)
+		}
 	case 1:
 		w.apply(h, h.table.Tick(w.now))
 		w.recheck(h)
 	case 2:
 		w.handover(h)
+	case 3:
+		w.removeStopped(h)
 	}
 }
 
@@ -163,13 +167,13 @@
 func (w *world) stepList() {
 	h := pick(w, w.homes, "entry")
 	m, member := placement.Find(w.list, h.self.ID, h.self.Incarnation)
-	switch w.draw(5, "list action") {
+	switch w.draw(8, "list action") {
 	case 0:
 		if len(w.homes) < 9 {
 			w.join(fmt.Sprintf("entry-%d", w.draw(5, "id")))
 		}
 	case 1:
-		if member && h.alive {
+		if member && h.alive && !w.outage {
 			next, err := placement.MarkLeaving(w.list, m.ID, m.Incarnation)
 			if err != nil {
 				return // it is leaving already
@@ -180,17 +184,25 @@
 	case 2:
 		w.kill(h)
 	case 3:
-		if member {
+		if member && !w.outage {
 			w.list, _ = placement.Expel(w.list, m.ID, m.Incarnation, w.now)
 			w.counts["expelled"]++
 		}
 	case 4:
 		w.rejoin(h, member)
+	case 5:
+		if h.alive {
+			w.apply(h, h.table.Stop(w.now))
+		}
+	case 6:
+		w.outage = !w.outage
+	case 7:
+		w.stopInOutage(h)
 	}
 }
 
 func (w *world) rejoin(h *home, member bool) {
-	if !h.alive || member || h.table.IsMember() {
+	if !h.alive || member || h.table.IsMember() || w.outage {
 		return
 	}
 	former := h.self
@@ -203,6 +215,7 @@
 		h.table.AgentDisconnected(w.now, a.ref)
 	}
 	h.table.Rejoin(h.self.Incarnation)
+	w.removeStopped(h)
 	w.list, _ = placement.Add(w.list, h.self, w.now)
 	w.counts["rejoined"]++
 	w.adopt(h, w.list)
--- a/internal/submission/reports.go
+++ b/internal/submission/reports.go
@@ -31,7 +31,7 @@
 // running before, and that a whole answer does not list any more, was refused there and does not count any more.
 func (t *Table) RecordsReceived(now time.Time, from AgentRef, m *wire.Records) Actions {
 	t.expire(now)
-	if _, ok := t.recoveredEntry(m.ExpelledIncarnation); !ok || !t.current(m.ListVersion) {
+	if _, ok := t.recoveredEntry(m.ExpelledIncarnation); !ok || !t.current(m.ListVersion, m.Round) {
 		return Actions{}
 	}
 	source := reporter{from, m.ExpelledIncarnation}
--- a/internal/submission/round.go
+++ b/internal/submission/round.go
@@ -9,6 +9,9 @@
 
 // round is the search for what former homes started, since the last change that made this entry inherit keys.
 type round struct {
+	// number counts the searches. Answers to a search before required do not count, because whoever answered may not
+	// have known of an entry that stopped without the store, whose keys belong to this one since.
+	number, required uint64
 	// version is the list under which the search began; answers under an older list do not count.
 	version uint64
 	started time.Time
@@ -34,7 +37,13 @@
 // restart asks everyone again. Former answers told only about the keys of that time.
 func (t *Table) restart(now time.Time) {
 	blind := t.round.blind
+	number, required := t.round.number+1, t.round.required
+	if len(t.received.Stopped) > 0 {
+		required = number
+	}
 	t.round = round{
+		number:   number,
+		required: required,
 		version:  t.list.Version,
 		started:  now,
 		members:  make(map[holderRef]struct{}),
@@ -65,17 +74,22 @@
 	}
 }
 
-// current tells whether an answer under this list version counts. A higher version than the own one does not: under
-// it fewer keys may belong to this entry than it believes.
-func (t *Table) current(version uint64) bool {
-	return version >= t.round.version && version <= placement.Version(t.list)
+// current tells whether an answer under this list version to this search counts. A higher version than the own one does
+// not: under it fewer keys may belong to this entry than it believes.
+func (t *Table) current(version, round uint64) bool {
+	return round >= t.round.required && version >= t.round.version && version <= placement.Version(t.list)
+}
+
+// Inherit returns the question to each of the members in Actions.Inherit.
+func (t *Table) Inherit() *wire.Inherit {
+	return &wire.Inherit{List: t.received, Round: t.round.number}
 }
 
 // InheritedReceived takes over the keys that another member holds.
 func (t *Table) InheritedReceived(now time.Time, from wire.Member, m *wire.Inherited) Actions {
 	t.expire(now)
 	ref := holderOf(from)
-	if !t.current(m.ListVersion) {
+	if !t.current(m.ListVersion, m.Round) {
 		return Actions{}
 	}
 	// An entry of this table comes before a pointer, but it can be a job of a former incarnation that ends as not_run
--- a/internal/submission/table.go
+++ b/internal/submission/table.go
@@ -11,7 +11,8 @@
 type Table struct {
 	cfg  Config
 	self wire.Member
-	list *wire.EntryList
+	// received is the list as it came; list is what the statements of its members make of it.
+	received, list *wire.EntryList
 	// owned are lists that this entry adopted, from the last one under which its knowledge was complete. A key whose
 	// home it is under all of them cannot have been started elsewhere.
 	owned     []*wire.EntryList
@@ -53,8 +54,9 @@
 	return e != nil && e.epoch == t.epoch && t.IsMember()
 }
 
-// List returns the list in use; nil before the first. It must not be changed.
-func (t *Table) List() *wire.EntryList { return t.list }
+// List returns the list in use, with the statements about its members apart; nil before the first. It must not be
+// changed.
+func (t *Table) List() *wire.EntryList { return t.received }
 
 // Home returns the home of a key under the list in use.
 func (t *Table) Home(region string, key wire.KeyHash) (wire.Member, bool) {
--- a/internal/submission/world_entries_test.go
+++ b/internal/submission/world_entries_test.go
@@ -2,20 +2,25 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/submission"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
+// join starts an entry. In an outage of the store it is no member and learns the list from the others.
 func (w *world) join(id string) {
 	h := &home{alive: true, jobs: map[submission.Job]*job{}, self: wire.Member{
 		ID: id, Incarnation: w.next(), Address: id, Region: []string{"north", "south"}[w.draw(2, "region")],
 	}}
 	h.table = submission.New(submission.Config{Retention: retention, AgentMemory: agentMemory}, h.self)
 	w.homes = append(w.homes, h)
-	w.list, _ = placement.Add(w.list, h.self, w.now)
-	w.adopt(h, w.list)
+	if !w.outage {
+		w.list, _ = placement.Add(w.list, h.self, w.now)
+		w.adopt(h, w.list)
+	}
 	for _, other := range w.homes {
 		if other != h {
 			w.connectHomes(h, other)
@@ -100,12 +105,12 @@
 }
 
 func (w *world) askMember(h *home, m wire.Member) {
-	to, asker, list := w.homeOf(m), h.self, h.table.List()
+	to, asker, question := w.homeOf(m), h.self, h.table.Inherit()
 	if to == nil {
 		return
 	}
 	w.send(h.name(), to.name(), func() {
-		answer, actions := to.table.InheritReceived(w.now, asker, &wire.Inherit{List: list})
+		answer, actions := to.table.InheritReceived(w.now, asker, question)
 		holder := to.self
 		if answer.Newer != nil {
 			w.sendList(to, h)
@@ -174,7 +179,16 @@
 		})
 	}
 	done, clean := h.table.HandoverDone()
-	if !done || h.table.List().Version != w.list.Version {
+	m, _ := placement.Find(h.table.List(), h.self.ID, h.self.Incarnation)
+	if done && clean && (w.outage || m.State == wire.MemberActive || w.draw(2, "without the store") == 0) {
+		w.apply(h, h.table.StopDone(w.now))
+		w.counts["done without the store"]++
+		return
+	}
+	if m.ID != "" && !h.table.IsMember() {
+		w.kill(h) // it has stated that it is done
+	}
+	if !done || w.outage || h.table.List().Version != w.list.Version {
 		return
 	}
 	if clean {
@@ -186,6 +200,48 @@
 	w.kill(h)
 }
 
+// removeStopped removes the entries from the list of which h knows that they stopped without the store.
+func (w *world) removeStopped(h *home) {
+	if w.outage || h.table.List() == nil {
+		return
+	}
+	for _, s := range h.table.List().Stopped {
+		if next, err := placement.RemoveStopped(w.list, s); err == nil {
+			w.list = next
+			w.counts["removed as stopped"]++
+		}
+	}
+}
+
+// stopInOutage stops an entry without the store up to the end, while others stay connected to it, and may start it again.
+func (w *world) stopInOutage(h *home) {
+	active := 0
+	if h.alive && h.table.IsMember() {
+		for _, m := range placement.Effective(h.table.List()).Members {
+			if m.State == wire.MemberActive {
+				active++
+			}
+		}
+	}
+	if active < 2 {
+		return
+	}
+	w.outage = true
+	w.apply(h, h.table.Stop(w.now))
+	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
+		w.finish(h.jobs[id], true)
+	}
+	for range 3 {
+		w.handover(h)
+		for len(w.queues) > 0 && w.draw(40, "stop halfway") > 0 {
+			w.deliver()
+		}
+	}
+	if w.draw(2, "start again") == 0 && !h.alive && len(w.homes) < 9 {
+		w.join(h.self.ID)
+	}
+}
+
 func (w *world) kill(h *home) {
 	h.alive = false
 	for _, other := range w.homes {
--- a/internal/submission/world_test.go
+++ b/internal/submission/world_test.go
@@ -27,6 +27,7 @@
 	t      *rapid.T
 	now    time.Time
 	list   *wire.EntryList // the value in the store
+	outage bool            // of the store: the list is neither read nor changed
 	serial uint64
 	homes  []*home
 	agents []*agent
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -56,6 +56,20 @@
 	Version  uint64     `cbor:"1,keyasint" json:"version"`
 	Members  []Member   `cbor:"2,keyasint" json:"members"`
 	Departed []Departed `cbor:"3,keyasint,omitempty" json:"departed,omitempty"`
+	// Stopped are statements of members that stopped without the store. They are no part of the list in the store.
+	Stopped []Stopped `cbor:"4,keyasint,omitempty" json:"-"`
+}
+
+// Stopped is the statement of a member that stops without a change of the list: this incarnation takes no new key,
+// under any list, and never will. Only the member itself makes it.
+type Stopped struct {
+	ID          string `cbor:"1,keyasint" json:"id"`
+	Incarnation uint64 `cbor:"2,keyasint" json:"incarnation"`
+	// Done is set when the member runs nothing more and its whole table was confirmed by the new homes under the list
+	// of ListVersion. At is the time of that.
+	Done        bool      `cbor:"3,keyasint,omitempty" json:"done"`
+	ListVersion uint64    `cbor:"4,keyasint,omitempty" json:"list_version"`
+	At          time.Time `cbor:"5,keyasint" json:"at"`
 }
 
 // Hello is the first message of the dialling side.
@@ -243,6 +257,8 @@
 	List                *EntryList `cbor:"1,keyasint"`
 	Expelled            string     `cbor:"2,keyasint"`
 	ExpelledIncarnation uint64     `cbor:"3,keyasint"`
+	// Round numbers the searches of the sender. It is returned with the records.
+	Round uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // TaskRecord is what an agent knows about one task.
@@ -279,6 +295,8 @@
 	// Expired is set when a task that an earlier answer listed as queued or running may have started although this
 	// answer does not list it: its record has expired or was replaced by one of another home.
 	Expired bool `cbor:"8,keyasint,omitempty"`
+	// Round is that of the Collect.
+	Round uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // TaskSpec is one task of a job as the caller sent it.
@@ -373,6 +391,8 @@
 // Inherit asks a member to adopt List and to name the keys of its table that now belong to the sender.
 type Inherit struct {
 	List *EntryList `cbor:"1,keyasint"`
+	// Round numbers the searches of the sender. It is returned with the answer.
+	Round uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Inherited answers Inherit in one or more parts.
@@ -380,6 +400,8 @@
 	ListVersion uint64    `cbor:"1,keyasint"`
 	Keys        []KeyHash `cbor:"2,keyasint,omitempty"`
 	Last        bool      `cbor:"3,keyasint,omitempty"`
+	// Round is that of the Inherit.
+	Round uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // HandoverItem is one finished submission.
