--- a/internal/e2e/tls_test.go
+++ b/internal/e2e/tls_test.go
@@ -78,7 +78,7 @@
 	former.issue("process", agents)
 	next.issue("process", agents)
 	c := newCluster(t, options{arguments: former.linkArguments("process")})
-	load := c.startLoad(4, &load{jobs: plannedLoad, targets: func() []*entry { return c.entries[1:] }})
+	load := c.startLoad(plannedCallers, &load{jobs: plannedLoad, targets: func() []*entry { return c.entries[1:] }})
 	both := append(former.read("ca.pem"), next.read("ca.pem")...)
 	former.replace("ca.pem", both)
 	former.replace("process-key.pem", next.read("process-key.pem"))
