Visit only the services that an event touched in a pass of the entry's loop

Each pass of the control goroutine asked the policy of every service for its next starts and for its next wake-up, so a start cost more the more services the entry had, above all when few events share a pass.

The policies now mark their service at each call that can change a decision. A service that marks itself during its visit is not visited again in the same pass, so that a start that cannot be sent is tried at the time that the policy names and not in a tight loop.

--- a/internal/capacity/agent_bench_test.go
+++ b/internal/capacity/agent_bench_test.go
@@ -19,7 +19,7 @@
 }
 
 func measureAgent(b *testing.B, callers int) {
-	d := startDeployment(b, 1, 1)
+	d := startDeployment(b, 1, 1, "")
 	e := d.entries[0]
 	waitDocuments(b, e, 1)
 	upstream := freeAddress(b)
@@ -29,7 +29,7 @@
 		"--entries", e.links, "--upstream", "http://"+upstream, "--link-token", token, "--slots", "8",
 		"--admin-address", admin, "--admin-token", token, "--log-level", "error")
 	a.waitReady(b)
-	waitFor(b, "the agent is connected", func() bool { return submit(e, "warm-up", 1) == nil })
+	waitFor(b, "the agent is connected", func() bool { return submit(e, serviceName(0), "warm-up", 1) == nil })
 	idle := a.residentBytes(b)
 	before, cpu := a.metrics(b, "agent"), a.cpuSeconds(b)
 	drive(b, e, callers, 1, workMeasure)
@@ -55,7 +55,7 @@
 
 func measureAgentIdle(b *testing.B, n int) {
 	const measure = 20 * time.Second
-	d := startDeployment(b, n, 1)
+	d := startDeployment(b, n, 1, "")
 	admin := freeAddress(b)
 	a := startProcess(b, admin, "agent", "--id", "agent-0000", "--data-centre", "dc", "--services", serviceName(0),
 		"--entries", d.entries[0].links, "--upstream", "http://"+freeAddress(b), "--link-token", token,
--- a/internal/capacity/entry_bench_test.go
+++ b/internal/capacity/entry_bench_test.go
@@ -34,7 +34,7 @@
 }
 
 func measureIdle(b *testing.B, n int) {
-	d := startDeployment(b, 1, 1)
+	d := startDeployment(b, 1, 1, "")
 	e := d.entries[0]
 	waitDocuments(b, e, 1)
 	connectAgents(b, e, n, 1, 0)
@@ -69,7 +69,7 @@
 	for _, n := range []int{1, 30, 120} {
 		b.Run(fmt.Sprintf("services=%d", n), func(b *testing.B) {
 			for range b.N {
-				d := startDeployment(b, 1, n)
+				d := startDeployment(b, 1, n, "")
 				e := d.entries[0]
 				waitDocuments(b, e, n)
 				b.ReportMetric(e.residentBytes(b)/(1<<20), "MiB")
@@ -104,11 +104,11 @@
 // measureWork drives one entry with 100 light agents as fast as a fixed number of callers can.
 func measureWork(b *testing.B, tasks, services int) {
 	const agents, work = 100, 20 * time.Millisecond
-	d := startDeployment(b, 1, services)
+	d := startDeployment(b, 1, services, "")
 	e := d.entries[0]
 	waitDocuments(b, e, services)
 	connectAgents(b, e, agents, 1, work)
-	waitFor(b, "the agents are connected", func() bool { return submit(e, "warm-up", 1) == nil })
+	waitFor(b, "the agents are connected", func() bool { return submit(e, serviceName(0), "warm-up", 1) == nil })
 	before, cpu := e.metrics(b, "entry"), e.cpuSeconds(b)
 	callers := max(2*agents*slots/tasks, 4)
 	jobs := drive(b, e, callers, tasks, workMeasure)
@@ -133,7 +133,7 @@
 		go func() {
 			defer wait.Done()
 			for time.Now().Before(deadline) {
-				if submit(e, fmt.Sprintf("key-%d", key.Add(1)), tasks) != nil {
+				if submit(e, serviceName(0), fmt.Sprintf("key-%d", key.Add(1)), tasks) != nil {
 					failures.Add(1)
 					continue
 				}
@@ -150,7 +150,8 @@
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}
 
-func submit(e *entryProcess, key string, tasks int) error {
+// submit sends one job and waits for its answer. A job with an empty key runs at the entry that receives it.
+func submit(e *entryProcess, service, key string, tasks int) error {
 	var body bytes.Buffer
 	body.WriteString(`{"kind":"work","tasks":[`)
 	for i := range tasks {
@@ -160,11 +161,13 @@
 		body.WriteString(`{"body":{"order":"0123456789012345678901234567890123456789"}}`)
 	}
 	body.WriteString(`]}`)
-	request, err := http.NewRequest(http.MethodPost, "http://"+e.callers+"/v1/services/"+serviceName(0)+"/jobs", &body)
+	request, err := http.NewRequest(http.MethodPost, "http://"+e.callers+"/v1/services/"+service+"/jobs", &body)
 	if err != nil {
 		return err
 	}
-	request.Header.Set("Idempotency-Key", key)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return err
@@ -185,7 +188,7 @@
 	for _, n := range []int{100, 365, 730} {
 		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
 			for range b.N {
-				d := startDeployment(b, 1, 1)
+				d := startDeployment(b, 1, 1, "")
 				e := d.entries[0]
 				waitDocuments(b, e, 1)
 				before, cpu, began := e.metrics(b, "entry"), e.cpuSeconds(b), time.Now()
--- a/internal/capacity/process_test.go
+++ b/internal/capacity/process_test.go
@@ -194,17 +194,22 @@
 type deployment struct {
 	store   string
 	entries []*entryProcess
+	// revisions has the revision of each service that was put.
+	revisions map[string]int
 }
 
 type entryProcess struct {
 	*process
 	callers, links string
+	// store counts the traffic between the entry and the store.
+	store *relay
 }
 
-// startDeployment starts a store, entries and the documents of the services.
-func startDeployment(b *testing.B, entries, services int) *deployment {
+// startDeployment starts a store, entries and the documents of the services. Text is added to each document, and flags to
+// the command line of each entry.
+func startDeployment(b *testing.B, entries, services int, text string, flags ...string) *deployment {
 	b.Helper()
-	d := &deployment{store: freeAddress(b)}
+	d := &deployment{store: freeAddress(b), revisions: make(map[string]int)}
 	startProcess(b, "", "stand-in", "platform", "--listen", d.store, "--log-level", "error")
 	waitFor(b, "the store listens", func() bool {
 		conn, err := net.Dial("tcp", d.store)
@@ -214,14 +219,17 @@
 		return conn.Close() == nil
 	})
 	for i := range services {
-		d.putDocument(b, serviceName(i))
+		d.putDocument(b, serviceName(i), text)
 	}
 	for i := range entries {
-		e := &entryProcess{callers: freeAddress(b), links: freeAddress(b)}
+		e := &entryProcess{callers: freeAddress(b), links: freeAddress(b), store: startRelay(b, d.store)}
 		admin := freeAddress(b)
-		e.process = startProcess(b, admin, "entry", "--id", fmt.Sprintf("entry-%02d", i), "--data-centre", "dc",
+		args := []string{
+			"entry", "--id", fmt.Sprintf("entry-%02d", i), "--data-centre", "dc",
 			"--caller-address", e.callers, "--link-address", e.links, "--admin-address", admin, "--admin-token", token,
-			"--link-token", token, "--store", "http://"+d.store, "--log-level", "error")
+			"--link-token", token, "--store", "http://" + e.store.address, "--log-level", "error",
+		}
+		e.process = startProcess(b, admin, append(args, flags...)...)
 		e.waitReady(b)
 		d.entries = append(d.entries, e)
 	}
@@ -230,15 +238,18 @@
 
 func serviceName(i int) string { return fmt.Sprintf("%s-%03d", service, i) }
 
-func (d *deployment) putDocument(b *testing.B, name string) {
+// putDocument writes the next revision of a service, with text added to its document.
+func (d *deployment) putDocument(b *testing.B, name, text string) {
 	b.Helper()
 	file := filepath.Join(b.TempDir(), "document.yaml")
-	if err := os.WriteFile(file, fmt.Appendf(nil, document, name, name), 0o600); err != nil {
+	if err := os.WriteFile(file, fmt.Appendf(nil, document+"%s", name, name, text), 0o600); err != nil {
 		b.Fatal(err)
 	}
+	former := strconv.Itoa(d.revisions[name])
+	d.revisions[name]++
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	put := exec.CommandContext(ctx, binary, "service", "put", file, "--expect-revision", "0",
+	put := exec.CommandContext(ctx, binary, "service", "put", file, "--expect-revision", former,
 		"--store", "http://"+d.store, "--author", "capacity")
 	if out, err := put.CombinedOutput(); err != nil {
 		b.Fatalf("%s%v", out, err)
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -31,19 +31,6 @@
 	return dispatch.TaskRef{Job: a.job.id, Index: uint16(a.index)}
 }
 
-// assign sends what the policies decide to start now and gives up what they refuse.
-func (c *control) assign() {
-	for _, s := range c.services {
-		assignments, refusals := s.policy.Next(c.now)
-		for _, a := range assignments {
-			c.start(s, a)
-		}
-		for _, r := range refusals {
-			c.giveUp(r)
-		}
-	}
-}
-
 func (c *control) giveUp(r dispatch.Refusal) {
 	j := c.jobs[r.Ref.Job]
 	if j == nil {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -33,10 +33,12 @@
 
 	documents *document.Registry
 	services  map[string]*service
-	quotas    *quota.Quotas
-	agents    map[string]*agentSession
-	peers     map[string]*peer
-	interval  time.Duration // of the heartbeats
+	// dirty are the services that the next pass visits.
+	dirty    []*service
+	quotas   *quota.Quotas
+	agents   map[string]*agentSession
+	peers    map[string]*peer
+	interval time.Duration // of the heartbeats
 
 	jobs      map[uint64]*job
 	running   map[wire.KeyHash]*job
@@ -78,6 +80,7 @@
 	c.table = table.New(c.tableConfig(), c.self())
 	c.planQuotaReport()
 	c.planConfirmation()
+	c.planSweep()
 	return c
 }
 
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -85,18 +85,11 @@
 	}
 }
 
-// maxSleep bounds the time between two passes, so that a policy that forgets to name a time cannot stall for long.
-const maxSleep = time.Second
-
+// untilWake returns the time until the next callback. There is always one, since the sweep plans itself again.
 func (c *control) untilWake() time.Duration {
-	wake := c.now.Add(maxSleep)
-	if at, ok := c.timers.next(); ok && at.Before(wake) {
-		wake = at
-	}
-	for _, s := range c.services {
-		if at := s.policy.Wake(c.now); !at.IsZero() && at.Before(wake) {
-			wake = at
-		}
+	at, ok := c.timers.next()
+	if !ok {
+		return sweepInterval
 	}
-	return max(wake.Sub(c.now), 0)
+	return max(at.Sub(c.now), 0)
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -14,6 +14,9 @@
 	revision uint64
 	document *document.Service
 	policy   dispatch.Policy
+	// dirty is set while the service is in control.dirty. wake is the visit that the policy asked for.
+	dirty bool
+	wake  *timerEntry
 }
 
 // applyDocument puts a new revision of a service document into force.
@@ -27,7 +30,8 @@
 			c.log.WithField("service", name).WithError(err).Error("dispatch: cannot create the policy")
 			return
 		}
-		s = &service{name: name, policy: policy}
+		s = &service{name: name}
+		s.policy = markingPolicy{Policy: policy, mark: func() { c.markDirty(s) }}
 		c.services[name] = s
 	}
 	s.revision, s.document = revision, d
@@ -60,6 +64,7 @@
 	}
 	delete(c.services, name)
 	c.publishAccess()
+	c.timers.cancel(s.wake)
 	c.log.WithField("service", name).Info("document: service deleted")
 }
 
