Bring the control traffic of an entry under its budget with a margin

All control parts of one entry were never measured together.

Heartbeats are the largest part at the target; their share of the budget did not fall with the size of the deployment, although the other parts grow with it. And the interval of quota reports counted the bytes of the teams but not those of the report: teams with a job every 40 s kept the interval at 1 s, where 14 nearly empty reports a second cost 2 KB/s in headers.

The share of heartbeats now falls with the number of links, from 40% to 25% at 737 links, and the interval of quota reports counts 120 bytes for the report itself. Smaller heartbeats were ruled out: 156 of the 224 bytes of a round are headers of TCP and IP. A dead idle link of a process with 737 links is now found after up to 134 s in place of 84 s; a start or a document finds it in 1 s as before, and small deployments keep 1.5 s.

TestHeartbeatsStayWithinTheControlBudget checks the lower share as well.

--- a/internal/capacity/agents_test.go
+++ b/internal/capacity/agents_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -98,3 +99,27 @@
 	b.Cleanup(func() { l.Close(link.ErrClosed) })
 	return nil
 }
+
+// connectAll calls connect for n agents, many at the same time as hosts of their own would.
+func connectAll(b *testing.B, n int, connect func(i int) error) {
+	b.Helper()
+	const diallers = 128
+	next := make(chan int)
+	var wait sync.WaitGroup
+	for range diallers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := range next {
+				if err := connect(i); err != nil {
+					b.Error(err)
+				}
+			}
+		}()
+	}
+	for i := range n {
+		next <- i
+	}
+	close(next)
+	wait.Wait()
+}
--- a/internal/link/heartbeat.go
+++ b/internal/link/heartbeat.go
@@ -3,13 +3,17 @@
 import "time"
 
 // Budget for heartbeats. A process with many links lengthens the interval, so that pings and pongs on idle links stay
-// within heartbeatShare of the control budget.
+// within heartbeatShare of the control budget. The share falls with the number of links, because documents, quotas and the
+// store take more of the budget in a large deployment: at 737 links it is 25%.
 const (
 	// minHeartbeat and the unanswered pings keep the time until a dead link of a small deployment is replaced below
 	// the 4 s in which a document is in force everywhere.
 	minHeartbeat   = 1500 * time.Millisecond
 	controlBudget  = 5_000 // bytes per second
 	heartbeatShare = 0.4
+	// halfShareLinks is the number of links at which heartbeats get half of heartbeatShare. A lower number lengthens the
+	// time until a dead idle link is found, which is 134 s at 737 links; work and documents find it in 1 s.
+	halfShareLinks = 1_200
 	// heartbeatBytes is the largest size of one ping, one pong and the acknowledgement of the pong, with the headers of
 	// WebSocket, TCP with time stamps, and IP. The pong carries the acknowledgement of the ping.
 	heartbeatBytes = 224
@@ -28,6 +32,7 @@
 
 // HeartbeatInterval returns the interval of pings on an idle link for a process with n links.
 func HeartbeatInterval(n int) time.Duration {
-	seconds := float64(n) * heartbeatBytes / (controlBudget * heartbeatShare)
+	share := heartbeatShare / (1 + float64(n)/halfShareLinks)
+	seconds := float64(n) * heartbeatBytes / (controlBudget * share)
 	return max(minHeartbeat, time.Duration(seconds*float64(time.Second)))
 }
--- a/internal/link/heartbeat_test.go
+++ b/internal/link/heartbeat_test.go
@@ -35,6 +35,8 @@
 		perSecond := float64(links*round) / link.HeartbeatInterval(links).Seconds()
 		g.Expect(perSecond).To(gomega.BeNumerically("<=", budget), "%d links", links)
 	}
+	atTarget := float64(737*round) / link.HeartbeatInterval(737).Seconds()
+	g.Expect(atTarget).To(gomega.BeNumerically("<=", 0.25*5_000), "730 agents and 7 entries leave room for the other parts")
 	g.Expect(link.HeartbeatInterval(13)).To(gomega.Equal(1500 * time.Millisecond))
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -47,8 +47,11 @@
 	MinInterval = time.Second
 	// MaxInterval bounds the interval in a large one.
 	MaxInterval = 60 * time.Second
-	// reportBytes is the size of one team in a report.
-	reportBytes = 24
+	// teamBytes is the size of one team in a report.
+	teamBytes = 24
+	// frameBytes is the size of a report without teams: 104 bytes of TCP and IP headers for the report and its
+	// acknowledgement, and 16 of the message. Teams with little traffic make many small reports, so it counts.
+	frameBytes = 120
 	// reportBudget is the traffic in bytes per second that an entry sends as reports; it receives as much.
 	reportBudget = 400
 )
@@ -56,7 +59,7 @@
 // Interval returns the time between two reports of an entry with so many peers and active teams, so that the reports
 // stay within a fixed traffic.
 func Interval(peers, teams int) time.Duration {
-	d := time.Duration(float64(peers*teams*reportBytes) / reportBudget * float64(time.Second))
+	d := time.Duration(float64(peers*(frameBytes+teams*teamBytes)) / reportBudget * float64(time.Second))
 	return min(max(d, MinInterval), MaxInterval)
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -203,3 +203,27 @@
 	ok, _ = q.Admit(epoch.Add(retry), "team", 1)
 	g.Expect(ok).To(gomega.BeTrue())
 }
+
+// Guards against reports that exceed their traffic: many small ones of teams with little work do by their headers.
+func TestReportsStayWithinTheirTraffic(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const headers, budget = 2 * 52, 400 // bytes of TCP and IP, bytes per second
+	for _, peers := range []int{1, 3, 7, 11} {
+		for _, teams := range []int{1, 2, 12, 60, 120} {
+			usage := wire.QuotaUsage{IntervalMillis: 60_000}
+			for i := range teams {
+				usage.Teams = append(usage.Teams, wire.TeamUsage{
+					Team: fmt.Sprintf("team-%03d", i), Admitted: 1000, Wanted: 1000, Running: 10,
+				})
+			}
+			frame, err := wire.Encode(&usage)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			interval := Interval(peers, teams)
+			if interval == MaxInterval {
+				continue
+			}
+			rate := float64(peers*(len(frame)+headers)) / interval.Seconds()
+			g.Expect(rate).To(gomega.BeNumerically("<=", budget), "%d peers, %d teams", peers, teams)
+		}
+	}
+}
