Tell other entries about agents that reconnect together in one message

When agents reconnect, an entry told each other entry about each agent in a message of its own before it welcomed the agent.

Presences of one interval of 100 ms now share a message. A single agent is told about and welcomed at once; in a wave a welcome waits for the message by at most the interval, so that an agent still gets no start before the other entries know of it.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -40,6 +40,9 @@
 	peers    map[string]*peer
 	interval time.Duration // of the heartbeats
 
+	// roster is what the other entries are still to be told about the agents.
+	roster rosterBatch
+
 	jobs      map[uint64]*job
 	running   map[wire.KeyHash]*job
 	tableJobs map[table.Job]*job
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -31,7 +31,15 @@
 // welcome answers the hello of a process that dialled.
 func (e *Entry) welcome(hello *wire.Hello) *wire.Welcome {
 	reply := make(chan *wire.Welcome, 1)
-	e.post(func(c *control) { reply <- c.welcome(hello) })
+	e.post(func(c *control) {
+		refused := c.refusesHello(hello)
+		answer := func() { reply <- c.welcome(hello, refused) }
+		if hello.Role == wire.RoleAgent {
+			c.afterRoster(answer)
+		} else {
+			answer()
+		}
+	})
 	select {
 	case w := <-reply:
 		return w
@@ -40,26 +48,33 @@
 	}
 }
 
-func (c *control) welcome(hello *wire.Hello) *wire.Welcome {
-	list := c.list
-	w := &wire.Welcome{
-		ID: c.options.ID, Incarnation: c.incarnation, DataCentre: c.options.DataCentre, Region: c.options.Region,
-		HeartbeatMillis:   uint32(c.heartbeat().Milliseconds()),
-		DocumentRevisions: c.documents.Revisions(), List: &list,
-	}
+// refusesHello returns why a hello is refused, or "". The other entries learn of an agent before it is welcomed and can
+// get a start, so that they ask it if this entry is lost.
+func (c *control) refusesHello(hello *wire.Hello) string {
 	switch {
 	case hello.ID == "":
-		w.Refused = "the hello has no id"
+		return "the hello has no id"
 	case hello.Role == wire.RoleAgent:
-		w.Refused = c.refusesAgent(hello)
-		w.DocumentRevisions = nil
-		if w.Refused == "" {
-			// The other entries learn of the agent before it can get a start, so that they ask it if this entry is lost.
+		refused := c.refusesAgent(hello)
+		if refused == "" {
 			ref := table.AgentRef{ID: hello.ID, Incarnation: hello.Incarnation}
 			c.perform(c.table.AgentConnected(c.now, ref, hello.StartedAt))
 		}
+		return refused
 	case hello.Role != wire.RoleEntry:
-		w.Refused = "the role is not known"
+		return "the role is not known"
+	}
+	return ""
+}
+
+func (c *control) welcome(hello *wire.Hello, refused string) *wire.Welcome {
+	list := c.list
+	w := &wire.Welcome{
+		ID: c.options.ID, Incarnation: c.incarnation, DataCentre: c.options.DataCentre, Region: c.options.Region,
+		HeartbeatMillis: uint32(c.heartbeat().Milliseconds()), List: &list, Refused: refused,
+	}
+	if hello.Role == wire.RoleEntry {
+		w.DocumentRevisions = c.documents.Revisions()
 	}
 	return w
 }
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -27,7 +27,7 @@
 		}
 	}
 	if a.Roster != nil {
-		c.broadcast(a.Roster)
+		c.tellRoster(a.Roster)
 	}
 	if a.Recheck {
 		c.recheck()
