Ask few agents at a time for the records of an expelled entry

A recovery asked all agents at once. Their answers were decoded on every processor of the entry at the same time, and a job that came meanwhile waited for all of them.

An entry now has at most 4 questions without an answer. An answer makes room, or 250 ms without one, so that silent agents do not stop the recovery. A part of an answer has at most 512 records in place of 4,096, which bounds a step of the control goroutine.

A rate near the budget of 5 KB/s was ruled out: 100,000 records are 9.7 MB and would take 32 min, longer than the 10 min for which records exist, and every inherited key would be unknown until then.

--- a/internal/agent/records/collect.go
+++ b/internal/agent/records/collect.go
@@ -11,8 +11,9 @@
 // wire.MaxAnswerBody and its headers still fits the frame.
 const maxPart = 2 << 20
 
-// maxPartRecords bounds the number of task records in one part.
-const maxPartRecords = 4096
+// maxPartRecords bounds the number of task records in one part. An entry takes over a part in one step of its control
+// goroutine, at about 3 us per record, and other work waits for that long.
+const maxPartRecords = 512
 
 // recordOverhead is the size in bytes that is counted for a record besides its answer.
 const recordOverhead = 64
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -41,7 +41,8 @@
 	interval time.Duration // of the heartbeats
 
 	// roster is what the other entries are still to be told about the agents.
-	roster rosterBatch
+	roster   rosterBatch
+	collects collectQueue
 
 	jobs      map[uint64]*job
 	running   map[wire.KeyHash]*job
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -20,12 +20,7 @@
 	for _, m := range a.Inherit {
 		c.sendInherit(m)
 	}
-	for _, q := range a.Collect {
-		s := c.agents[q.Agent.ID]
-		if s != nil && s.link != nil && s.hello.Incarnation == q.Agent.Incarnation {
-			_ = s.link.Send(q.Message)
-		}
-	}
+	c.collect(a.Collect)
 	if a.Roster != nil {
 		c.tellRoster(a.Roster)
 	}
@@ -120,6 +115,9 @@
 
 func (c *control) agentRecords(s *agentSession, m *wire.Records) {
 	c.perform(c.table.RecordsReceived(c.now, s.ref(), m))
+	if m.Last {
+		c.collectEnded(collectKey{s.ref(), m.ExpelledIncarnation})
+	}
 }
 
 func (s *agentSession) ref() table.AgentRef {
