--- a/internal/devcluster/delay.go
+++ b/internal/devcluster/delay.go
@@ -29,6 +29,14 @@
 	return newDelayedConn(conn, delay), nil
 }
 
+// Probe implements link.Prober. It is not delayed.
+func (d delayedDialer) Probe(ctx context.Context, address string) error {
+	if prober, ok := d.dialer.(link.Prober); ok {
+		return prober.Probe(ctx, address)
+	}
+	return link.ErrDial
+}
+
 // frameQueueLength bounds the frames on their way in one direction.
 const frameQueueLength = 4096
 
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -52,14 +52,20 @@
 
 	lastJob, lastAttempt, lastRequest, lastConfirmation uint64
 
-	// provenLease is the lease under which the store last showed this entry as a member.
+	// provenLease is the lease under which the store last showed this entry as a member. Only renewals from provenFrom on
+	// prove that nobody removed it.
 	provenLease platform.LeaseID
+	provenFrom  time.Time
 
 	// seen is the last snapshot of the watched keys, seenAt its time.
 	seen   *snapshot
 	seenAt time.Time
 	// leaseGoneSince has, by incarnation, when the store first showed no lease of a member.
 	leaseGoneSince map[uint64]time.Time
+	// leaseSeen has the incarnations of members whose lease the store has shown.
+	leaseSeen map[uint64]bool
+	// refusals has, by incarnation, the answers of the hosts of members to which there is no link.
+	refusals map[uint64]*refusal
 	// leaseMissing tells the holder of the lease that the store does not show it.
 	leaseMissing chan struct{}
 	// changing is set while a change of the list is under way.
@@ -79,12 +85,14 @@
 		jobs: make(map[uint64]*job), running: make(map[wire.KeyHash]*job), tableJobs: make(map[table.Job]*job),
 		forwards: make(map[uint64]*forward), waiting: make(map[*waiting]struct{}),
 		leaseGoneSince: make(map[uint64]time.Time), leaseMissing: make(chan struct{}, 1),
+		leaseSeen: make(map[uint64]bool), refusals: make(map[uint64]*refusal),
 		seen: newSnapshot(), records: records{interval: fullCheckInterval},
 	}
 	c.table = table.New(c.tableConfig(), c.self())
 	c.planQuotaReport()
 	c.planConfirmation()
 	c.planSweep()
+	c.planProbes()
 	return c
 }
 
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -33,7 +33,7 @@
 func (e *Entry) holdLease(ctx context.Context) error {
 	h := &leaseHolder{entry: e, missing: e.control.leaseMissing}
 	for ctx.Err() == nil {
-		delay := e.options.LeaseTTL / leaseRenewals
+		delay := min(e.options.LeaseTTL, e.options.ExpulsionDelay) / leaseRenewals
 		err := h.step(ctx)
 		if err != nil {
 			delay = min(delay, storeRetryDelay)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -94,7 +96,7 @@
 	if c.isSettled(s) {
 		return watchWait
 	}
-	return c.options.ExpulsionDelay / watchWaitShare
+	return c.removalWait()
 }
 
 // snapshotGap is the longest time between two snapshots that both count towards the expulsion delay. After a longer gap,
@@ -142,22 +144,21 @@
 }
 
 // wasRemoved tells whether this incarnation was in the list before.
-func (c *control) wasRemoved() bool {
-	for _, d := range c.list.Departed {
-		if d.Incarnation == c.incarnation {
-			return true
-		}
-	}
-	return false
+func (c *control) wasRemoved() bool { return c.hasDeparted(c.incarnation) }
+
+// hasDeparted tells whether a run of an entry is known to have left the list.
+func (c *control) hasDeparted(incarnation uint64) bool {
+	return slices.ContainsFunc(c.list.Departed, func(d wire.Departed) bool { return d.Incarnation == incarnation })
 }
 
-// watchLeases removes members whose lease and link have both been gone for the expulsion delay. It runs for each
-// snapshot of the store only, so an outage of the store removes nobody.
+// watchLeases removes members whose lease and link have both been gone long enough. It runs for each snapshot of the store
+// only, so an outage of the store removes nobody.
 func (c *control) watchLeases(s *snapshot) {
 	state, member := c.membership()
 	for _, m := range c.list.Members {
 		if m.ID == c.options.ID || s.holds(m) {
 			delete(c.leaseGoneSince, m.Incarnation)
+			c.leaseSeen[m.Incarnation] = true
 			c.noticeLease(s, m)
 			continue
 		}
@@ -166,10 +167,41 @@
 			c.leaseGoneSince[m.Incarnation] = c.now
 			continue
 		}
-		if member && state == wire.MemberActive && c.now.Sub(since) >= c.options.ExpulsionDelay && c.linkGone(m) {
+		if member && state == wire.MemberActive && c.removable(m, since) {
 			c.expel(m)
 		}
 	}
+	maps.DeleteFunc(c.leaseSeen, func(incarnation uint64, _ bool) bool { return !c.hasIncarnation(incarnation) })
+}
+
+// hasIncarnation tells whether a member of the list has this incarnation.
+func (c *control) hasIncarnation(incarnation uint64) bool {
+	return slices.ContainsFunc(c.list.Members, func(m wire.Member) bool { return m.Incarnation == incarnation })
+}
+
+// removable tells whether a member whose lease is gone since the given time can be removed. The delay is shorter for one
+// whose process has ended.
+func (c *control) removable(m wire.Member, leaseGone time.Time) bool {
+	if c.now.Sub(leaseGone) >= c.options.ExpulsionDelay && c.linkGone(m) {
+		return true
+	}
+	ended, ok := c.endedSince(m)
+	delay := c.endedDelay()
+	return ok && c.leaseSeen[m.Incarnation] && c.now.Sub(leaseGone) >= delay && c.now.Sub(ended) >= delay
+}
+
+// removalWait returns how long the next watch waits while something is amiss: until the next delay of a lost lease is
+// over, because a removal needs a snapshot from after it.
+func (c *control) removalWait() time.Duration {
+	wait := c.options.ExpulsionDelay / watchWaitShare
+	for _, since := range c.leaseGoneSince {
+		for _, delay := range []time.Duration{c.endedDelay(), c.options.ExpulsionDelay} {
+			if rest := delay - c.now.Sub(since); rest > 0 {
+				wait = min(wait, max(rest, minWatchWait))
+			}
+		}
+	}
+	return wait
 }
 
 // noticeLease tells the holder of this entry's own lease that the store does not show it.
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -50,7 +50,7 @@
 	TableEntries int
 	// TableBytes bounds the bytes of remembered answers. Default 64 MiB.
 	TableBytes int
-	// LeaseTTL is the time to live of the entry's lease in the store. Default 15 s.
+	// LeaseTTL is the time to live of the entry's lease in the store. Default 10 s, the least that Consul allows.
 	LeaseTTL time.Duration
 	// ExpulsionDelay is the time for which lease and link of another entry must be gone before it is removed.
 	// Default 10 s.
@@ -74,7 +74,7 @@
 	DefaultAgentMemory    = table.DefaultAgentMemory
 	DefaultTableEntries   = 1_000_000
 	DefaultTableBytes     = 64 << 20
-	DefaultLeaseTTL       = 15 * time.Second
+	DefaultLeaseTTL       = 10 * time.Second
 	DefaultExpulsionDelay = 10 * time.Second
 	DefaultReadinessDelay = time.Second
 	DefaultStopTimeout    = 75 * time.Second
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -13,10 +13,13 @@
 // since, so its refusal not_run of a key would be false. It therefore vouches for not_run only while it can prove that
 // nobody can have expelled it:
 //
-//   - a member is removed only after its lease was absent for the expulsion delay, and a lease that is renewed was never
-//     absent since the store last showed it together with the membership; or
-//   - a member is removed only by one to which it had no link for the expulsion delay, and every active member has
+//   - a member is removed only after its lease was absent for half the expulsion delay, and a lease that is renewed was
+//     never absent since the store last showed it together with the membership; or
+//   - a member is removed only by one to which it had no link for half the expulsion delay, and every active member has
 //     answered a ping that was sent less than that ago.
+//
+// The time to live of the lease adds nothing to the proof, because another member ends the lease of an entry that it takes
+// for dead (refusals.go).
 
 // heldLease is what an entry knows about its lease. The lease service writes it, the control goroutine reads it.
 type heldLease struct {
@@ -43,9 +46,16 @@
 	if s.list == nil || !s.holds(c.self()) {
 		return
 	}
-	if _, ok := placement.Find(s.list, c.options.ID, c.incarnation); ok {
-		c.provenLease = s.leases[leaseKey(c.self())]
+	lease := s.leases[leaseKey(c.self())]
+	if _, ok := placement.Find(s.list, c.options.ID, c.incarnation); !ok || lease == c.provenLease {
+		return
+	}
+	if c.provenLease != "" {
+		// A member whose snapshots missed this lease can still count the absence of the former one. It does so until its
+		// snapshots are further apart than snapshotGap.
+		c.provenFrom = c.now.Add(c.snapshotGap())
 	}
+	c.provenLease = lease
 }
 
 // ownsKeys tells whether it is certain that this entry has not been expelled.
@@ -59,15 +69,15 @@
 // leaseProof returns the time until which the lease excludes an expulsion.
 func (c *control) leaseProof() time.Time {
 	id, renewedAt := c.entry.lease.last()
-	if id == "" || id != c.provenLease {
+	if id == "" || id != c.provenLease || renewedAt.Before(c.provenFrom) {
 		return time.Time{}
 	}
-	return renewedAt.Add(c.options.LeaseTTL + c.options.ExpulsionDelay)
+	return renewedAt.Add(c.endedDelay())
 }
 
 // linkProof returns the time until which the links to all active members exclude an expulsion.
 func (c *control) linkProof() time.Time {
-	until := c.now.Add(c.options.ExpulsionDelay)
+	until := c.now.Add(c.endedDelay())
 	for _, m := range c.effective().Members {
 		if m.ID == c.options.ID || m.State != wire.MemberActive {
 			continue
@@ -76,7 +86,7 @@
 		if p == nil || p.incarnation != m.Incarnation {
 			return time.Time{}
 		}
-		if confirmed := p.confirmedAt.Add(c.options.ExpulsionDelay); confirmed.Before(until) {
+		if confirmed := p.confirmedAt.Add(c.endedDelay()); confirmed.Before(until) {
 			until = confirmed
 		}
 	}
@@ -86,15 +96,16 @@
 // Pings that confirm a link. Their sequences differ from those of the link by confirmBit.
 const (
 	confirmBit = 1 << 63
-	// confirmations is the number of pings within one expulsion delay. They are sent only while the lease proves nothing.
+	// confirmations is the number of pings within endedDelay. They are sent only while the lease does not prove the
+	// ownership until the next one.
 	confirmations = 4
 )
 
 // planConfirmation sends pings to the active members while the lease cannot be renewed.
 func (c *control) planConfirmation() {
-	interval := c.options.ExpulsionDelay / confirmations
+	interval := c.endedDelay() / confirmations
 	c.timers.add(c.now.Add(interval), func(now time.Time) {
-		if now.Add(c.options.ExpulsionDelay).After(c.leaseProof()) {
+		if now.Add(interval).After(c.leaseProof()) {
 			c.confirmLinks()
 		}
 		c.planConfirmation()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -16,6 +16,7 @@
 	incarnation uint64
 	link        *link.Link // nil while there is none
 	downSince   time.Time  // when link became nil
+	upSince     time.Time  // when link was taken into use
 	// asked is the sequence of the last ping that confirms the link, sent at askedAt. confirmedAt is when the last one
 	// was sent that this run of the peer answered.
 	asked                uint64
@@ -44,7 +45,7 @@
 	if p.incarnation != hello.Incarnation {
 		p.confirmedAt = time.Time{}
 	}
-	p.link, p.incarnation, p.asked = l, hello.Incarnation, 0
+	p.link, p.upSince, p.incarnation, p.asked = l, c.now, hello.Incarnation, 0
 	if list != nil {
 		c.adoptList(list)
 	}
--- a/internal/entry/storesync.go
+++ b/internal/entry/storesync.go
@@ -29,6 +29,8 @@
 	// watchWaitShare is the divisor of the expulsion delay that gives the wait while a lease is missing: the expulsion
 	// needs successive snapshots without the lease.
 	watchWaitShare = 2
+	// minWatchWait bounds the rate of reads that wait for the end of a delay.
+	minWatchWait = 10 * time.Millisecond
 	// watchMargin is the divisor of the wait that gives the time by which an answer may be late. The published protocol
 	// adds up to a sixteenth of the wait.
 	watchMargin = 8
@@ -36,7 +38,8 @@
 	storeTimeout = 3 * time.Second
 	// storeRetryDelay is the delay after a call that failed.
 	storeRetryDelay = time.Second
-	// leaseRenewals is the number of renewals within one time to live.
+	// leaseRenewals is the number of renewals within one time to live and within one expulsion delay. A renewal proves the
+	// ownership of keys for half the expulsion delay only.
 	leaseRenewals = 3
 )
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -145,3 +147,24 @@
 	far.Close(link.ErrClosed)
 	_ = conn.Close()
 }
+
+// Guards against a host that is merely slow, or a process that resets the connection, being taken for one where nothing
+// listens.
+func TestProbeTellsARefusalFromOtherFailures(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	address := listener.Addr().String()
+	dialer := link.WebSocketDialer{Token: token}
+	g.Expect(dialer.Probe(context.Background(), address)).To(gomega.Succeed())
+	g.Expect(listener.Close()).To(gomega.Succeed())
+	g.Expect(errors.Is(dialer.Probe(context.Background(), address), link.ErrConnectionRefused)).To(gomega.BeTrue())
+	for _, cause := range []error{syscall.ECONNRESET, syscall.EHOSTUNREACH, context.DeadlineExceeded} {
+		dialer.DialContext = func(context.Context, string, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: cause}
+		}
+		err := dialer.Probe(context.Background(), address)
+		g.Expect(errors.Is(err, link.ErrDial)).To(gomega.BeTrue())
+		g.Expect(errors.Is(err, link.ErrConnectionRefused)).To(gomega.BeFalse(), "%v", cause)
+	}
+}
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -6,9 +6,11 @@
 	"context"
 	"crypto/subtle"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 
 	"github.com/coder/websocket"
 	"github.com/rotisserie/eris"
@@ -28,6 +30,8 @@
 	ErrRefused   = eris.New("peer refused the link")
 	ErrDial      = eris.New("peer cannot be reached")
 	ErrHandshake = eris.New("handshake failed")
+	// ErrConnectionRefused means that the host of the peer answered that nothing listens at the address.
+	ErrConnectionRefused = eris.New("connection refused")
 )
 
 // Conn is a connection that keeps the boundaries of frames.
@@ -46,6 +50,13 @@
 	Dial(ctx context.Context, address string) (Conn, error)
 }
 
+// Prober is a Dialer that can tell whether a process listens at an address.
+type Prober interface {
+	// Probe opens a connection to host:port and closes it at once. It returns ErrConnectionRefused when the host refused
+	// it, and ErrDial when it failed in any other way, for example by a timeout or a reset.
+	Probe(ctx context.Context, address string) error
+}
+
 // WebSocketDialer opens WebSocket connections and authenticates with the link token.
 type WebSocketDialer struct {
 	Token string
@@ -78,6 +89,23 @@
 	return newWebSocketConn(conn, response.TLS), nil
 }
 
+// Probe implements Prober. It sends nothing on the connection.
+func (d WebSocketDialer) Probe(ctx context.Context, address string) error {
+	dial := d.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	conn, err := dial(ctx, "tcp", address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return eris.Wrapf(ErrConnectionRefused, "%s", address)
+	case err != nil:
+		return eris.Wrapf(ErrDial, "%s: %v", address, err)
+	}
+	_ = conn.Close()
+	return nil
+}
+
 const bearerPrefix = "Bearer "
 
 // Authorized reports whether the request carries the bearer token. The comparison takes constant time. An empty token
