--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -21,9 +21,11 @@
 
 // job is a submission of a caller.
 type job struct {
-	key    string // empty for a job without one
-	kind   string
-	bodies []json.RawMessage
+	key string // empty for a job without one
+	// service is that of the job; empty for the constant service.
+	service string
+	kind    string
+	bodies  []json.RawMessage
 	// deadline is the time in which the caller wants the answer.
 	deadline time.Duration
 }
@@ -37,6 +39,13 @@
 	return j
 }
 
+func (j job) serviceName() string {
+	if j.service == "" {
+		return service
+	}
+	return j.service
+}
+
 // opaque replaces the key by one that does not tell its age.
 func (j job) opaque() job {
 	j.key = "order-" + j.key[len(j.key)-12:] + j.key[:8]
@@ -69,7 +78,7 @@
 	const grace = 5 * time.Second // for a frozen entry; a live one answers soon after the deadline
 	ctx, cancel := context.WithTimeout(ctx, j.deadline+grace)
 	defer cancel()
-	post, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+"/v1/services/"+service+"/jobs",
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+"/v1/services/"+j.serviceName()+"/jobs",
 		bytes.NewReader(text))
 	if err != nil {
 		return reply{}, err
@@ -124,7 +133,7 @@
 			return fmt.Errorf("task %d: %w", i, err)
 		}
 		sum := sha256.Sum256(j.bodies[i])
-		if task.Outcome != api.OutcomeComplete || own.Task != taskName(key, i) || own.SHA256 != hex.EncodeToString(sum[:]) {
+		if task.Outcome != api.OutcomeComplete || own.Task != taskOf(j.serviceName(), key, i) || own.SHA256 != hex.EncodeToString(sum[:]) {
 			return fmt.Errorf("task %d has the answer %+v of another request", i, own)
 		}
 	}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -17,9 +17,11 @@
 
 // Names and tokens of the deployment under test.
 const (
-	service   = "bench"
-	linkToken = "e2e-link"
-	token     = "e2e-operator"
+	service = "bench"
+	// homeService has the home region east. Its document is put by the tests that use it.
+	homeService = "bench-east"
+	linkToken   = "e2e-link"
+	token       = "e2e-operator"
 )
 
 // Times of the deployment under test. They are the shortest that the settings allow.
@@ -42,7 +44,7 @@
     requires: {accelerators: 64}
 `
 
-// options of a cluster; the zero value means 3 entries, 4 agents and no relays.
+// options of a cluster; the zero value means 3 entries of one region, 4 agents and no relays.
 type options struct {
 	agents int
 	// relays puts a relay in front of the link address of each entry.
@@ -50,6 +52,8 @@
 	slots  int
 	// arguments are further arguments of entries and agents.
 	arguments []string
+	// regions are those of the entries, one each; agents take turns. Empty means 3 entries in the region east.
+	regions []string
 	// defaultTimes leaves lease and expulsion delay at the defaults of the program.
 	defaultTimes bool
 }
@@ -78,8 +82,8 @@
 
 type agent struct {
 	*process
-	id, admin string
-	upstream  *upstream
+	id, admin, region string
+	upstream          *upstream
 }
 
 type upstream struct {
@@ -101,8 +105,11 @@
 	c := &cluster{t: t, options: o}
 	c.startStore()
 	c.putDocument(benchDocument, 0)
-	for i := range 3 {
-		c.addEntry(fmt.Sprintf("entry-%d", i+1))
+	if len(o.regions) == 0 {
+		c.options.regions = []string{"east", "east", "east"}
+	}
+	for i, region := range c.options.regions {
+		c.addEntryIn(region, fmt.Sprintf("entry-%d", i+1))
 	}
 	for i := range o.agents {
 		c.addAgent(fmt.Sprintf("agent-%d", i+1))
@@ -188,7 +195,7 @@
 	u := &upstream{name: "up-" + id, tasks: freeAddress(), control: freeAddress()}
 	c.upstreams = append(c.upstreams, u)
 	c.startUpstream(u)
-	a := &agent{id: id, admin: freeAddress(), upstream: u}
+	a := &agent{id: id, admin: freeAddress(), region: c.options.regions[len(c.agents)%len(c.options.regions)], upstream: u}
 	c.agents = append(c.agents, a)
 	c.startAgent(a)
 	return a
@@ -204,8 +211,8 @@
 
 func (c *cluster) startAgent(a *agent) {
 	arguments := append([]string{
-		"agent", "--id", a.id, "--data-centre", "ilica", "--region", "east",
-		"--services", service, "--entries", strings.Join(c.linkAddresses(), ","), "--upstream", "http://" + a.upstream.tasks,
+		"agent", "--id", a.id, "--data-centre", "ilica", "--region", a.region,
+		"--services", service + "," + homeService, "--entries", strings.Join(c.linkAddresses(), ","), "--upstream", "http://" + a.upstream.tasks,
 		"--link-token", linkToken, "--admin-address", a.admin, "--admin-token", token,
 		"--slots", fmt.Sprint(c.options.slots),
 	}, c.options.arguments...)
--- a/internal/e2e/state_test.go
+++ b/internal/e2e/state_test.go
@@ -204,7 +204,9 @@
 	return n
 }
 
-func taskName(key string, index int) string {
+func taskName(key string, index int) string { return taskOf(service, key, index) }
+
+func taskOf(service, key string, index int) string {
 	return fmt.Sprintf("%x/%d", placement.HashKey(service, key), index)
 }
 
--- a/internal/e2e/verdict_test.go
+++ b/internal/e2e/verdict_test.go
@@ -114,7 +114,7 @@
 func (h *history) started(starts map[string]int) int {
 	n := 0
 	for i := range h.job.bodies {
-		n += starts[taskName(h.job.key, i)]
+		n += starts[taskOf(h.job.serviceName(), h.job.key, i)]
 	}
 	return n
 }
