Let an operator state that an agent is gone for good

Operators could only wait. The subcommand agent-gone (POST /agents/{id}/gone with the token) makes the agent count like one that was replaced at this moment: younger UUIDv7 keys run, others wait for the retention window. It is refused while an entry has a link to the agent, and the roster tells the other entries.

--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -32,9 +32,14 @@
 
 // get returns the status and the body of an endpoint. It returns errOperator when there is no whole answer.
 func (o *operator) get(ctx context.Context, path string) (status int, body []byte, err error) {
+	return o.call(ctx, http.MethodGet, path)
+}
+
+// call makes a request without a body and returns what get returns.
+func (o *operator) call(ctx context.Context, method, path string) (status int, body []byte, err error) {
 	ctx, release := context.WithTimeout(ctx, o.timeout)
 	defer release()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, baseURL(o.address)+path, nil)
+	request, err := http.NewRequestWithContext(ctx, method, baseURL(o.address)+path, nil)
 	if err != nil {
 		return 0, nil, eris.Wrap(errOperator, err.Error())
 	}
--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -9,6 +9,7 @@
 		loadCommand(),
 		statusCommand(),
 		dumpCommand(),
+		agentGoneCommand(),
 		policyCompareCommand(),
 	}
 	groups := []*group{
--- a/internal/e2e/expulsion_test.go
+++ b/internal/e2e/expulsion_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/exec"
 	"slices"
 	"strconv"
 	"syscall"
@@ -232,3 +233,41 @@
 	}
 	l.cluster.t.Logf("%d of %d keys, none of them started, stay without a final answer", open, len(l.histories))
 }
+
+// agentGone runs the operators' command at an entry and returns its output and whether it succeeded.
+func (c *cluster) agentGone(e *entry, id string) (string, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	output, err := exec.CommandContext(ctx, program, "agent-gone", "--agent", id, "--admin-address", e.admin,
+		"--admin-token", token).CombinedOutput()
+	return string(output), err == nil
+}
+
+// Guards against keys that stay recovering although an operator stated that the agent that died with their home is gone, at
+// the entry that was told and at the others, and against a statement about an agent that is there.
+func TestKeysAreServedAfterAnAgentIsStatedGone(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	c := newCluster(t, options{})
+	home, lost := c.entries[1], c.agents[1]
+	output, ok := c.agentGone(c.entries[0], lost.id)
+	g.Expect(ok).To(gomega.BeFalse(), output)
+	older := c.jobWithHome(home, newJob("charge", 2*time.Second, 20, 20))
+	lost.kill()
+	c.killAndWait(home, c.entries[0])
+	r, err := submit(context.Background(), c.entries[0], older)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.reason).To(gomega.Equal(wire.ReasonRecovering), "%+v", r.Answer)
+	output, ok = c.agentGone(c.entries[0], lost.id)
+	g.Expect(ok).To(gomega.BeTrue(), output)
+	const clockSkew = 2 * time.Second
+	time.Sleep(clockSkew + 100*time.Millisecond)
+	for i := range 12 {
+		j := newJob("charge", 4*time.Second, 20, 20)
+		r := c.untilFinal(c.entries[2*(i%2)], j, 5*time.Second)
+		g.Expect(r.Outcome).To(gomega.Equal(api.OutcomeComplete), "%+v", r.Answer)
+	}
+	r, err = submit(context.Background(), c.entries[0], older)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.reason).To(gomega.Equal(wire.ReasonRecovering), "an older key can have run at the lost agent: %+v", r.Answer)
+}
--- a/internal/entry/supervise.go
+++ b/internal/entry/supervise.go
@@ -41,11 +41,16 @@
 	if e.options.AdminAddress == "" {
 		return nil, nil
 	}
-	return admin.New(admin.Options{
+	server, err := admin.New(admin.Options{
 		Address: e.options.AdminAddress, Token: e.options.OperatorToken, Role: "entry", Vars: e.control.metrics.vars,
 		Ready: e.readiness, Dump: e.Dump, Refresh: e.refreshMetrics, Log: e.log,
 		TLS: e.options.ServerCertificate.ServerConfig(),
 	})
+	if err != nil {
+		return nil, err
+	}
+	server.Guarded().POST("/agents/:id/gone", e.agentGone)
+	return server, nil
 }
 
 var errNotReady = eris.New("entry is starting or stopping")
--- a/internal/submission/interleaving_test.go
+++ b/internal/submission/interleaving_test.go
@@ -232,6 +232,7 @@
 func (w *world) stepAgentFault() {
 	a := pick(w, w.agents, "agent")
 	if !a.alive {
+		w.replaceStated(a)
 		return
 	}
 	graceful := w.draw(2, "graceful") == 0
@@ -239,6 +240,10 @@
 		return
 	}
 	w.stopAgent(a, graceful)
+	if !graceful && w.draw(3, "stated") == 0 {
+		w.stateGone(a)
+		return
+	}
 	w.startAgent(a.ref.ID)
 }
 
--- a/internal/submission/world_agents_test.go
+++ b/internal/submission/world_agents_test.go
@@ -79,6 +79,25 @@
 	}
 }
 
+// stateGone lets an operator state at an entry that a crashed agent is gone. It is replaced by a later step.
+func (w *world) stateGone(a *agent) {
+	a.stated = true
+	h := pick(w, w.homes, "told")
+	if !h.alive {
+		return
+	}
+	if actions, err := h.table.AgentStatedGone(w.now, a.ref.ID); err == nil {
+		w.apply(h, actions)
+	}
+}
+
+func (w *world) replaceStated(a *agent) {
+	if a.stated {
+		a.stated = false
+		w.startAgent(a.ref.ID)
+	}
+}
+
 // advance starts the oldest queued task of an agent, or ends its oldest running one. With fails set, the answer of a
 // running task is lost, and a queued one is refused.
 func (w *world) advance(a *agent, fails bool) {
--- a/internal/submission/world_test.go
+++ b/internal/submission/world_test.go
@@ -90,6 +90,8 @@
 	started time.Time
 	table   *records.Table
 	alive   bool
+	// stated is set while an operator stated that the crashed agent is gone and it was not replaced.
+	stated  bool
 	queued  []*wire.Start
 	running []*wire.Start
 }
