Count refusals from the loss of the link only

A link that came and went between two probes left the row of refusals as it was, so that a removal could follow less than half the expulsion delay after the lost entry answered a ping on it. The entry vouches for not_run for that time. Found by reading; TestRefusalsCountFromTheLossOfTheLink fails without the change.

--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -126,6 +126,9 @@
 	if r == nil || r.count < minRefusals || c.now.Sub(r.last) > recent {
 		return time.Time{}, false
 	}
+	if p := c.peers[m.ID]; p != nil && p.downSince.After(r.since) {
+		return p.downSince, true // a link that came and went between two probes proves that the process lived
+	}
 	return r.since, true
 }
 
--- a/internal/entry/refusals_test.go
+++ b/internal/entry/refusals_test.go
@@ -101,3 +101,20 @@
 	b.Eventually(lease, waitLimit, poll).ShouldNot(gomega.Equal(former), "the lease was ended")
 	b.Consistently(func() wire.EntryList { return nodes[0].list() }, 3*testExpulsionDelay, poll).Should(gomega.Equal(before))
 }
+
+// Guards against refusals from before a link that came and went between two probes: an entry that answered a ping on it
+// vouches for not_run for half the expulsion delay.
+func TestRefusalsCountFromTheLossOfTheLink(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Now()
+	c := newOwner(start)
+	peer := c.list.Members[1]
+	c.now = start.Add(time.Second)
+	c.refusals[peer.Incarnation] = &refusal{count: minRefusals, since: start, last: c.now}
+	since, ended := c.endedSince(peer)
+	g.Expect([]any{since, ended}).To(gomega.Equal([]any{start, true}))
+	down := start.Add(700 * time.Millisecond)
+	c.peerOf(peer.ID).downSince = down
+	since, ended = c.endedSince(peer)
+	g.Expect([]any{since, ended}).To(gomega.Equal([]any{down, true}))
+}
