Probe no member that stated that it stops

A member that stops without the store stays active in the list and states the stop beside it. The probes of lost members went by the list alone, so a stopping entry whose listener closed early could have been removed as ended once the store was back. They go by the list with its statements now.

Seen to fail with the list alone: "refused after a statement to stop" of TestRemovalIsSoonOnlyAfterAProofOfTheEnd.

--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/platform"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
@@ -70,10 +71,11 @@
 	c.refusals = lost
 }
 
-// lostActive tells whether a member is active and has no link to this entry. A leaving entry is not probed: it closes its
-// listener while it still hands over.
+// lostActive tells whether a member is active and has no link to this entry. A leaving entry is not probed, nor one that
+// stated that it stops: it may close its listener while it still hands over.
 func (c *control) lostActive(m wire.Member) bool {
-	if m.ID == c.options.ID || m.State != wire.MemberActive {
+	m, member := placement.Find(c.effective(), m.ID, m.Incarnation)
+	if !member || m.ID == c.options.ID || m.State != wire.MemberActive {
 		return false
 	}
 	p := c.peers[m.ID]
--- a/internal/entry/refusals_test.go
+++ b/internal/entry/refusals_test.go
@@ -54,6 +54,14 @@
 			s.lost.store.cut()
 			s.b.network.isolate(s.lost.LinkAddress())
 		}, false},
+		"refused after a statement to stop": {func(s setting) {
+			s.lost.in((*control).stopWithoutStore)
+			for _, n := range s.remaining {
+				s.b.Eventually(func() int { return len(n.list().Stopped) }, waitLimit, poll).Should(gomega.Equal(1))
+			}
+			s.lost.store.cut()
+			s.b.network.refuse(s.lost.LinkAddress())
+		}, false},
 		"refused while leaving": {func(s setting) {
 			s.b.markLeaving(s.lost, s.remaining...)
 			s.lost.store.cut()
