Choose by the latest reports and keep fast slots for small jobs

An entry hears of an upstream every 280 ms, a task takes 250 ms, so the figures of a random sample say little.

Changes: in pools that are sampled, the upstreams that reported a free slot last are compared first. A job pays for the value of a slot by its work, so that wide jobs leave fast slots to small ones while slots are scarce; they wait for a slower one as long as little else waits.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -30,9 +30,11 @@
 const (
 	// fullScan is the number of upstreams up to which all are compared.
 	fullScan = 16
-	// idleSample and openSample are the sizes of the samples beyond that.
-	idleSample = 8
-	openSample = 3
+	// recentSample is the number of upstreams that are compared beyond that because they reported a free slot last,
+	// idleSample and openSample are the sizes of the random samples.
+	recentSample = 8
+	idleSample   = 3
+	openSample   = 2
 	// remotePenalty is added for another data centre, so that a near upstream wins when it costs no time.
 	remotePenalty = 200 * time.Microsecond
 	// loadPenalty times the learned service time is the cost of a fully loaded upstream. Entries that decide on old
@@ -55,7 +57,7 @@
 
 // expectedChooser implements ExpectedCompletion.
 type expectedChooser struct {
-	sample [idleSample + openSample]*upstream
+	sample [recentSample + idleSample + openSample]*upstream
 }
 
 func (c *expectedChooser) room(e *engine, u *upstream, now instant) (bool, bool) {
@@ -83,9 +85,10 @@
 	if len(p.open) == 0 {
 		return nil, poolFull
 	}
-	var best *upstream
-	cost := math.Inf(1)
+	var fastest, best *upstream
+	least, cost, lowest := math.Inf(1), math.Inf(1), math.Inf(1)
 	avoided, noRoom := false, true
+	price := e.slotPrice(now, t.job)
 	for _, u := range c.candidates(e, p) {
 		x, ok := e.cost(now, t.job.kind, u)
 		if !ok {
@@ -99,16 +102,19 @@
 		if u.probing(now) {
 			return u, chosen
 		}
-		if x < cost {
-			best, cost = u, x
+		if x < least {
+			fastest, least = u, x
+		}
+		if y := x + price*e.slotValue(t.job.kind, u); y < lowest {
+			best, cost, lowest = u, x, y
 		}
 	}
 	switch {
-	case best != nil && !e.worthwhile(now, t, cost):
-		return nil, queueBlocked
-	case best != nil:
+	case best != nil && e.worthwhile(now, t, cost):
 		return best, chosen
-	case noRoom:
+	case best != fastest && e.crowded(now, t) && e.worthwhile(now, t, least):
+		return fastest, chosen
+	case best != nil || noRoom:
 		return nil, queueBlocked
 	case avoided:
 		return nil, allAvoided
@@ -116,12 +122,12 @@
 	return nil, queueBlocked
 }
 
-// candidates returns all upstreams of a small pool and a sample of a large one.
+// candidates returns all upstreams of a small pool, and of a large one the latest idle reports and a sample.
 func (c *expectedChooser) candidates(e *engine, p *pool) []*upstream {
 	if len(p.open) <= fullScan {
 		return p.open
 	}
-	s := c.sample[:0]
+	s := p.recent.idle(c.sample[:0], recentSample)
 	for range min(idleSample, len(p.idle)) {
 		s = append(s, p.idle[e.random.IntN(len(p.idle))])
 	}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -227,8 +227,12 @@
 	}
 	at := e.at(now)
 	up.learnLoad(at, load)
-	if !up.removed {
-		e.place(up, at)
+	if up.removed {
+		return
+	}
+	e.place(up, at)
+	for i := range up.pools {
+		up.pools[i].pool.recent.add(up)
 	}
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -14,6 +14,7 @@
 	ups      []*upstream
 	// idle holds those that are expected to have a free slot, open those with a place in the agent's queue at least.
 	idle, open []*upstream
+	recent     recent
 	// had is set once there was an upstream; emptySince is the time at which the last one left.
 	had        bool
 	emptySince instant
@@ -151,6 +152,7 @@
 }
 
 func (p *pool) remove(u *upstream) {
+	p.recent.remove(u)
 	for i, other := range p.ups {
 		if other == u {
 			last := len(p.ups) - 1
--- a/internal/dispatch/rules_test.go
+++ b/internal/dispatch/rules_test.go
@@ -417,3 +417,45 @@
 	}
 	b.Expect(b.p.Stats(b.now).Waiting).To(gomega.BeNumerically("<=", 10))
 }
+
+// TestLatestReportCounts guards against a task that is sent by an old figure in a large pool although an upstream has
+// just reported a free slot, and against one sent to that upstream after it left.
+func TestLatestReportCounts(t *testing.T) {
+	b := newBed(t, Config{})
+	const upstreams = 60
+	for i := range upstreams {
+		b.p.SetUpstream(b.now, up(fmt.Sprint(i), 4))
+	}
+	for i := range upstreams {
+		b.p.Report(b.now, fmt.Sprint(i), Load{Running: 2})
+	}
+	b.wait(time.Second)
+	for _, id := range []string{"20", "40", "50"} {
+		b.p.Report(b.now, id, Load{})
+		b.p.Report(b.now, "30", Load{})
+		b.p.RemoveUpstream(b.now, "30")
+		b.submit(Job{})
+		b.Expect(b.one().Upstream).To(gomega.Equal(id))
+		b.p.RemoveUpstream(b.now, id)
+	}
+}
+
+// TestWideJobLeavesFastSlots guards against a wide job that takes the fast slots from small ones when slots are scarce.
+func TestWideJobLeavesFastSlots(t *testing.T) {
+	b := newBed(t, Config{}, up("slow", 8))
+	b.teach(up("slow", 8), "k", 130*time.Millisecond, Succeeded, 40)
+	b.p.RemoveUpstream(b.now, "slow")
+	b.p.SetUpstream(b.now, up("fast", 8))
+	b.teach(up("fast", 8), "k", 100*time.Millisecond, Succeeded, 40)
+	b.p.SetUpstream(b.now, up("slow", 8))
+	b.submit(Job{})
+	b.Expect(b.one().Upstream).To(gomega.Equal("fast"))
+	for _, id := range []string{"full-1", "full-2"} {
+		b.p.SetUpstream(b.now, up(id, 8))
+		b.p.Report(b.now, id, Load{Running: 8, Queued: 8})
+	}
+	b.submit(Job{})
+	b.Expect(b.one().Upstream).To(gomega.Equal("fast"), "a small job")
+	b.submit(Job{Tasks: 140})
+	b.Expect(b.next()[0].Upstream).To(gomega.Equal("slow"), "a wide job")
+}
