Refuse by the wait of the job itself when the queue stands

Cause: a queue that stands was limited to half of the time to the deadline of the new job, by all that waits. Wide jobs with 60 s filled it up to 4 s, and then every job with a deadline of 3 s was refused, although it would have passed them.

Now only the work that is served before the job counts.

Also: a sampled pool compares the ten upstreams that reported a free slot last and one random one.

Tests: TestOverload also runs the deployments as they are, without the kind that is made urgent; no bound changed.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -30,11 +30,11 @@
 const (
 	// fullScan is the number of upstreams up to which all are compared.
 	fullScan = 16
-	// recentSample is the number of upstreams that are compared beyond that because they reported a free slot last,
-	// idleSample and openSample are the sizes of the random samples.
-	recentSample = 8
-	idleSample   = 3
-	openSample   = 2
+	// idleSample is the number of upstreams with a free slot that are compared beyond that: those that reported it last,
+	// and random ones if these are too few. openSample is the number of random others, from which an entry learns of
+	// upstreams that it has not heard of for long. More random ones make the p99 worse, because little is known of them.
+	idleSample = 10
+	openSample = 1
 	// remotePenalty is added for another data centre, so that a near upstream wins when it costs no time.
 	remotePenalty = 200 * time.Microsecond
 	// loadPenalty times the learned service time is the cost of a fully loaded upstream. Entries that decide on old
@@ -57,7 +57,7 @@
 
 // expectedChooser implements ExpectedCompletion.
 type expectedChooser struct {
-	sample [recentSample + idleSample + openSample]*upstream
+	sample [idleSample + openSample]*upstream
 }
 
 func (c *expectedChooser) room(e *engine, u *upstream, now instant) (bool, bool) {
@@ -127,8 +127,8 @@
 	if len(p.open) <= fullScan {
 		return p.open
 	}
-	s := p.recent.idle(c.sample[:0], recentSample)
-	for range min(idleSample, len(p.idle)) {
+	s := p.recent.idle(c.sample[:0], idleSample)
+	for range min(idleSample-len(s), len(p.idle)) {
 		s = append(s, p.idle[e.random.IntN(len(p.idle))])
 	}
 	for range cap(s) - len(s) {
--- a/internal/dispatch/policysim/targets_test.go
+++ b/internal/dispatch/policysim/targets_test.go
@@ -76,16 +76,22 @@
 // TestOverload guards the targets for 1.3 load: urgent work in time, goodput and wasted messages.
 func TestOverload(t *testing.T) {
 	g := gomega.NewWithT(t)
-	full := compare(t, withUrgent(t), "load-1.0", dispatch.ExpectedCompletion)
-	over := compare(t, withUrgent(t), "load-1.3", dispatch.ExpectedCompletion)
-	for name := range full {
-		before, f := full[name][dispatch.ExpectedCompletion], over[name][dispatch.ExpectedCompletion]
-		g.Expect(f.Urgent).To(gomega.BeNumerically(">", 0), name)
-		g.Expect(f.UrgentInTime).To(gomega.BeNumerically(">=", 0.99), name)
-		g.Expect(f.Goodput).To(gomega.BeNumerically(">=", 0.95*before.Goodput), name)
-		g.Expect(f.GoodWork).To(gomega.BeNumerically(">=", 0.95*before.GoodWork), name)
-		g.Expect(f.Wasted).To(gomega.BeNumerically("<=", maxWasted), name)
+	urgent := 0
+	for _, deployments := range [][]*deployment.Deployment{today(t), withUrgent(t)} {
+		full := compare(t, deployments, "load-1.0", dispatch.ExpectedCompletion)
+		over := compare(t, deployments, "load-1.3", dispatch.ExpectedCompletion)
+		for name := range full {
+			before, f := full[name][dispatch.ExpectedCompletion], over[name][dispatch.ExpectedCompletion]
+			if f.Urgent > 0 {
+				urgent++
+				g.Expect(f.UrgentInTime).To(gomega.BeNumerically(">=", 0.99), name)
+			}
+			g.Expect(f.Goodput).To(gomega.BeNumerically(">=", 0.95*before.Goodput), name)
+			g.Expect(f.GoodWork).To(gomega.BeNumerically(">=", 0.95*before.GoodWork), name)
+			g.Expect(f.Wasted).To(gomega.BeNumerically("<=", maxWasted), name)
+		}
 	}
+	g.Expect(urgent).To(gomega.Equal(3), "wax, and both with an urgent kind")
 }
 
 // TestSameSeedSameFigures guards against runs that cannot be reproduced.
--- a/internal/dispatch/rules_test.go
+++ b/internal/dispatch/rules_test.go
@@ -426,6 +426,8 @@
 	for i := range upstreams {
 		b.p.SetUpstream(b.now, up(fmt.Sprint(i), 4))
 	}
+	b.submit(Job{})
+	b.done(b.one(), 100*time.Millisecond)
 	for i := range upstreams {
 		b.p.Report(b.now, fmt.Sprint(i), Load{Running: 2})
 	}
@@ -459,3 +461,19 @@
 	b.submit(Job{Tasks: 140})
 	b.Expect(b.next()[0].Upstream).To(gomega.Equal("slow"), "a wide job")
 }
+
+// TestStandingQueueRefusesByOwnWait guards against a standing queue of wide jobs with late deadlines in which small jobs
+// that would pass them are refused.
+func TestStandingQueueRefusesByOwnWait(t *testing.T) {
+	b := newBed(t, Config{}, up("u", 8))
+	b.teach(up("u", 8), "k", 200*time.Millisecond, Succeeded, 40)
+	e := b.p.(*engine)
+	wide := Job{Tasks: 140, Deadline: b.now.Add(time.Minute)}
+	for range 4 {
+		b.Expect(b.submit(wide)).To(gomega.BeNil())
+	}
+	b.next()
+	e.kinds["k"].pool.queue.standing = true
+	b.Expect(b.submit(wide)).NotTo(gomega.BeNil(), "it would wait for more than 10 s")
+	b.Expect(b.submit(Job{Deadline: b.now.Add(3 * time.Second)})).To(gomega.BeNil(), "it passes the wide jobs")
+}
--- a/internal/dispatch/shed.go
+++ b/internal/dispatch/shed.go
@@ -47,26 +47,32 @@
 // late tells whether a job of n tasks is expected to miss its deadline because of those that wait before it.
 func (e *engine) late(now instant, j *job) bool {
 	p := j.kind.pool
-	ahead := p.backlog[j.class].before(now, j.key)
-	if j.class == classNormal {
-		ahead += p.backlog[classUrgent].total
-	}
 	rate := p.rate(e, now)
 	if p.queue.loaded {
 		rate = max(rate-p.arrivals.passing(j), minDrainShare*rate)
 	}
-	wait := e.expectedWait(now, j, rate, ahead)
+	wait := e.expectedWait(now, j, rate, p.ahead(now, j))
 	return wait > minAdmissionWait && now+wait+j.kind.mean > j.deadline
 }
 
-// standing tells whether the queue stands and new work would wait for long in it.
+// ahead returns the waiting work that is served before a job.
+func (p *pool) ahead(now instant, j *job) instant {
+	work := p.backlog[j.class].before(now, j.key)
+	if j.class == classNormal {
+		work += p.backlog[classUrgent].total
+	}
+	return work
+}
+
+// standing tells whether the queue stands and the job would wait for long in it. Work that the job passes does not count:
+// otherwise long and wide jobs with late deadlines fill the queue, and small jobs with early ones are refused.
 func (e *engine) standing(now instant, j *job) bool {
 	p := j.kind.pool
 	if !p.queue.standing {
 		return false
 	}
 	limit := min(instant(standingShare*float64(j.deadline-now)), maxStandingWait)
-	return p.timeFor(e, now, p.backlogOf(classNormal)) > limit
+	return p.timeFor(e, now, p.ahead(now, j)) > limit
 }
 
 // graceOver tells whether a waiting job has to be given up because no upstream can serve it.
