Let the links follow the fake clock without real time in the tests of heartbeats

The tests moved a fake clock and gave the links 1 ms of real time after each step. When a goroutine of a link is not scheduled within it, the clock runs ahead, a ping counts as unanswered and the count of frames changes. They run in a synctest bubble now and wait until the links have nothing more to do; the probe test needs no bound of 1 s any more. The checks are unchanged but for two: both ends have to be closed at once after the second interval, not within 10 s, and the near end as silent.

--- a/internal/link/heartbeat_test.go
+++ b/internal/link/heartbeat_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -88,7 +89,7 @@
 
 func (d memoryDialer) Dial(context.Context, string) (link.Conn, error) { return d.conn, nil }
 
-// memoryLinks returns a pair of links in memory whose time is the fake clock.
+// memoryLinks returns a pair of links in memory whose time is the fake clock. It needs a synctest bubble.
 func memoryLinks(t *testing.T, fake *clock.Fake, heartbeat time.Duration) (near, far *link.Link, mute chan struct{}, stats *link.Stats) {
 	t.Helper()
 	g := gomega.NewWithT(t)
@@ -111,11 +112,12 @@
 	return near, far, a.muted, stats
 }
 
-// advance moves the fake clock in small steps and lets the goroutines of the links follow.
+// advance moves the fake clock in small steps and after each waits until the links have nothing more to do. A pause of
+// real time would not do: on a loaded machine the clock then runs ahead of the links, and a ping counts as unanswered.
 func advance(fake *clock.Fake, total, step time.Duration) {
 	for ; total > 0; total -= step {
 		fake.Advance(step)
-		time.Sleep(time.Millisecond)
+		synctest.Wait()
 	}
 }
 
@@ -124,7 +126,7 @@
 func TestIdleLinkCarriesOnePingPerInterval(t *testing.T) {
 	// With the shortest interval an answer is as old as the wait for it when the next ping is due.
 	for _, interval := range []time.Duration{1500 * time.Millisecond, 4 * time.Second} {
-		checkIdleLink(t, interval)
+		synctest.Test(t, func(t *testing.T) { checkIdleLink(t, interval) })
 	}
 }
 
@@ -144,6 +146,11 @@
 
 // Guards against a silent idle link that is kept for longer than one interval and two unanswered pings, or closed before.
 func TestSilentIdleLinkIsClosedAfterTwoPings(t *testing.T) {
+	synctest.Test(t, checkSilentIdleLink)
+}
+
+func checkSilentIdleLink(t *testing.T) {
+	t.Helper()
 	g := gomega.NewWithT(t)
 	fake := clock.NewFake(time.Unix(1_700_000_000, 0))
 	const interval, pings = 20 * time.Second, 2 * time.Second
@@ -153,11 +160,17 @@
 	g.Expect(near.Cause()).To(gomega.BeNil())
 	g.Expect(far.Cause()).To(gomega.BeNil())
 	advance(fake, 2*time.Second, interval/64)
-	eventually(t, func() bool { return near.Cause() != nil && far.Cause() != nil }, "both ends close")
+	g.Expect(near.Cause()).To(gomega.MatchError(link.ErrSilent))
+	g.Expect(far.Cause()).To(gomega.HaveOccurred())
 }
 
 // Guards against a dialling side that keeps the interval of the handshake when the acceptor has more links since.
 func TestPongCarriesTheNewInterval(t *testing.T) {
+	synctest.Test(t, checkNewInterval)
+}
+
+func checkNewInterval(t *testing.T) {
+	t.Helper()
 	g := gomega.NewWithT(t)
 	fake := clock.NewFake(time.Unix(1_700_000_000, 0))
 	const before, after = 2 * time.Second, 20 * time.Second
--- a/internal/link/probe_test.go
+++ b/internal/link/probe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -43,6 +44,11 @@
 // Guards against a link that is dead in one direction and passes a probe because the peer's own heartbeat arrives: a
 // document or a start that was sent on it is then not sent again on a new link in time.
 func TestProbeIsNotAnsweredByOtherTraffic(t *testing.T) {
+	synctest.Test(t, checkProbeOfADeafPeer)
+}
+
+func checkProbeOfADeafPeer(t *testing.T) {
+	t.Helper()
 	g := gomega.NewWithT(t)
 	conn := &oneWayConn{arriving: make(chan []byte, 4), closed: make(chan struct{})}
 	send := func(m wire.Message) {
@@ -55,8 +61,11 @@
 	l, err := link.Accept(context.Background(), conn, welcome, link.Options{Clock: clock.System{}, Stats: &link.Stats{}})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	l.Start(ignore{})
-	l.Probe(100 * time.Millisecond)
-	time.Sleep(20 * time.Millisecond)
+	const within = 100 * time.Millisecond
+	l.Probe(within)
+	time.Sleep(within / 5)
 	send(&wire.Ping{Sequence: 1}) // the heartbeat of the peer
-	g.Eventually(l.Done(), "1s").Should(gomega.BeClosed())
+	time.Sleep(within)
+	synctest.Wait()
+	g.Expect(l.Done()).To(gomega.BeClosed())
 }
