Let the stand-in upstream's tests wait for a start, not for a time

A request had to reach the stand-in within 50 ms, an answer to come within 300 ms and a task of 200 ms to be seen while it ran. On a busy host the count of starts or the outcome then differs. The tests wait until the task has begun and leave other waits 10 s; a hanging task is still left alone for 300 ms, and a refusal may not be the bound of the wait.

--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -17,6 +18,9 @@
 
 const task = "000102030405060708090a0b0c0d0e0f/7"
 
+// limit bounds waits that are no subject of a test.
+const limit = 10 * time.Second
+
 func run(t testing.TB, factor float64) (s *upstream.Server, stop context.CancelFunc, ended chan error) {
 	t.Helper()
 	s, err := upstream.New(upstream.Options{Name: "u1", Address: "127.0.0.1:0", ControlAddress: "127.0.0.1:0", Factor: factor})
@@ -49,6 +53,21 @@
 	return response.StatusCode, answer, json.Unmarshal(raw, &answer)
 }
 
+// abandon sends a task, closes the connection some time after the task has begun and returns the error of the client.
+func abandon(s *upstream.Server, body string, after time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	go func() {
+		for s.Counters().Running == 0 && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(after)
+		cancel()
+	}()
+	_, _, err := post(ctx, s, body)
+	return err
+}
+
 // Guards against a stand-in that hides a double start or answers for another request, so that tests of the system pass
 // in vain.
 func TestCountsAndProvesWhatItRan(t *testing.T) {
@@ -64,10 +83,7 @@
 		g.Expect(answer.Starts).To(gomega.BeEquivalentTo(i + 1))
 	}
 	g.Expect(time.Since(began)).To(gomega.BeNumerically(">=", 80*time.Millisecond), "two tasks of 20 ms at factor 2")
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
-	defer cancel()
-	_, _, err := post(ctx, s, `{"work_ms": 60000}`)
-	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(abandon(s, `{"work_ms": 60000}`, 0)).To(gomega.HaveOccurred())
 	g.Eventually(func() uint64 { return s.Counters().Cancelled }, 5*time.Second).Should(gomega.BeEquivalentTo(1))
 	want := upstream.Counters{Starts: 3, DoubleStarts: 2, Answered: 2, Cancelled: 1, MaxRunning: 1}
 	g.Expect(s.Counters()).To(gomega.Equal(want))
@@ -87,17 +103,20 @@
 		return response.StatusCode
 	}
 	call := func() (int, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
 		status, _, err := post(ctx, s, "")
 		return status, err
 	}
 	g.Expect(put(`{"fail": true}`)).To(gomega.Equal(http.StatusNoContent))
 	g.Expect(call()).To(gomega.Equal(http.StatusInternalServerError))
-	for _, fault := range []string{`{"hang": true}`, `{"reset": true}`, `{"refuse": true}`} {
+	hang := func() error { return abandon(s, "", 300*time.Millisecond) }
+	fail := func() error { _, err := call(); return err }
+	for fault, attempt := range map[string]func() error{`{"hang": true}`: hang, `{"reset": true}`: fail, `{"refuse": true}`: fail} {
 		g.Expect(put(fault)).To(gomega.Equal(http.StatusNoContent))
-		_, err := call()
+		err := attempt()
 		g.Expect(err).To(gomega.HaveOccurred(), fault)
+		g.Expect(errors.Is(err, context.DeadlineExceeded)).To(gomega.BeFalse(), fault)
 		g.Expect(put(`{}`)).To(gomega.Equal(http.StatusNoContent))
 		g.Expect(call()).To(gomega.Equal(http.StatusOK), "after %s", fault)
 	}
@@ -111,10 +130,10 @@
 	s, stop, ended := run(t, 1)
 	answered := make(chan error, 1)
 	go func() {
-		_, _, err := post(context.Background(), s, `{"work_ms": 200}`)
+		_, _, err := post(context.Background(), s, `{"work_ms": 1000}`)
 		answered <- err
 	}()
-	g.Eventually(func() int { return s.Counters().Running }, 5*time.Second, time.Millisecond).Should(gomega.Equal(1))
+	g.Eventually(func() uint64 { return s.Counters().Starts }, limit, time.Millisecond).Should(gomega.BeEquivalentTo(1))
 	stop()
 	g.Expect(<-answered).To(gomega.Succeed())
 	g.Expect(<-ended).To(gomega.Succeed())
