Hold tasks at a gate in the agent's tests, and give ports that are taken again a host of their own

Six tests needed something to happen while a task of 100 to 900 ms ran: a query, a collect, a dump, two cancellations, a cut link. On a stalled host the task is over before. A gate before the upstream holds its answer now until the test has seen what it waits for; the task that waits for longer than an idle agent stays does so by the test's own pause. Two tests close the port of an entry and one that of an upstream and take it again. On 127.0.0.1 another package's test can get it meanwhile, so they use an address of loopback that only this process listens on.

--- a/internal/agent/admin_test.go
+++ b/internal/agent/admin_test.go
@@ -39,7 +39,8 @@
 	g := gomega.NewWithT(t)
 	u := newUpstream(t, upstream.Faults{})
 	e := newTestEntry(t, "e1")
-	a := runAgent(t, u.URL(), []*testEntry{e}, func(o *agent.Options) {
+	gate := newGate(t, u.URL())
+	a := runAgent(t, u.URL(), []*testEntry{e}, gate.install, func(o *agent.Options) {
 		o.AdminAddress, o.AdminToken = "127.0.0.1:0", "operator"
 	})
 	ready := func() int {
@@ -47,7 +48,7 @@
 		return status
 	}
 	g.Eventually(ready, 5*time.Second).Should(gomega.Equal(http.StatusOK))
-	e.send(e.start(1, work(200)))
+	e.send(e.start(1))
 	var dump agent.Dump
 	g.Eventually(func() int {
 		_, body := get(t, a.AdminAddress(), "/dump")
@@ -56,6 +57,7 @@
 	}, 5*time.Second).Should(gomega.Equal(1))
 	g.Expect(dump.Attempts[0].Attempt).To(gomega.BeEquivalentTo(1))
 	g.Expect(dump.Homes).To(gomega.HaveLen(1))
+	gate.open()
 	e.waitResult(1)
 	g.Expect(u.SetFaults(upstream.Faults{Refuse: true})).To(gomega.Succeed())
 	starts := 1
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -58,7 +58,7 @@
 // newUpstream returns a stand-in upstream that is stopped with the test.
 func newUpstream(t testing.TB, faults upstream.Faults) *upstream.Server {
 	t.Helper()
-	s, err := upstream.New(upstream.Options{Name: "u1", Address: "127.0.0.1:0", Faults: faults, StopTimeout: time.Millisecond})
+	s, err := upstream.New(upstream.Options{Name: "u1", Address: ownHost + ":0", Faults: faults, StopTimeout: time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,6 +69,42 @@
 	return s
 }
 
+// gate is the call to an upstream whose answers the agent gets only after open, so that a task runs for as long as a test
+// needs.
+type gate struct {
+	agent.Upstream
+	opened chan struct{}
+}
+
+// newGate returns a closed gate before the upstream at a URL. It is opened at the end of the test at the latest.
+func newGate(t testing.TB, upstreamURL string) *gate {
+	t.Helper()
+	g := &gate{Upstream: httpUpstream(t, upstreamURL, 2), opened: make(chan struct{})}
+	t.Cleanup(g.open)
+	return g
+}
+
+// Call implements agent.Upstream.
+func (g *gate) Call(ctx context.Context, request agent.Request) (*agent.Response, error) {
+	response, err := g.Upstream.Call(ctx, request)
+	select {
+	case <-g.opened:
+	case <-ctx.Done():
+	}
+	return response, err
+}
+
+func (g *gate) open() {
+	select {
+	case <-g.opened:
+	default:
+		close(g.opened)
+	}
+}
+
+// install makes an agent call the upstream through the gate.
+func (g *gate) install(o *agent.Options) { o.Caller = g }
+
 // work makes the task take that many milliseconds at the stand-in.
 func work(millis int) func(*wire.Start) {
 	return func(s *wire.Start) {
@@ -150,9 +186,10 @@
 	g := gomega.NewWithT(t)
 	u := newUpstream(t, upstream.Faults{})
 	e := newTestEntry(t, "e1")
-	runAgent(t, u.URL(), []*testEntry{e}, func(o *agent.Options) { o.Slots, o.Queue = 1, 2 })
+	gate := newGate(t, u.URL())
+	runAgent(t, u.URL(), []*testEntry{e}, gate.install, func(o *agent.Options) { o.Slots, o.Queue = 1, 2 })
 	e.send(&wire.Cancel{Attempts: []uint64{5}})
-	e.send(e.start(1, work(400)))
+	e.send(e.start(1))
 	e.send(e.start(2))
 	e.send(e.start(3, func(s *wire.Start) { s.BudgetMillis = 150 }))
 	e.send(e.start(4))
@@ -162,8 +199,9 @@
 	g.Expect(e.waitResult(2).Reason).To(gomega.Equal(wire.RefusedCancelled))
 	g.Expect(e.waitResult(3).Reason).To(gomega.Equal(wire.RefusedExpired))
 	g.Expect(e.waitResult(5).Reason).To(gomega.Equal(wire.RefusedCancelled))
+	g.Eventually(func() []*wire.Accepted { return received[*wire.Accepted](e) }, 5*time.Second).ShouldNot(gomega.BeEmpty())
+	gate.open()
 	g.Expect(e.waitResult(1).State).To(gomega.Equal(wire.AttemptDone))
 	g.Expect(u.Counters().Starts).To(gomega.BeEquivalentTo(1))
-	g.Expect(received[*wire.Accepted](e)).NotTo(gomega.BeEmpty())
 	g.Expect(received[*wire.Accepted](e)[0].Attempts).To(gomega.ContainElement(uint64(1)))
 }
--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -70,12 +70,15 @@
 	t.Parallel()
 	g := gomega.NewWithT(t)
 	u := newUpstream(t, upstream.Faults{})
-	e := newTestEntry(t, "e1")
-	a := runAgent(t, u.URL(), []*testEntry{e}, patient)
-	e.send(e.start(1, work(900))) // longer than an idle agent stays
+	e := newTestEntryAt(t, "e1", ownHost)
+	gate := newGate(t, u.URL())
+	a := runAgent(t, u.URL(), []*testEntry{e}, patient, gate.install)
+	e.send(e.start(1, func(s *wire.Start) { s.BudgetMillis = 30_000 }))
 	g.Eventually(func() uint64 { return u.Counters().Starts }, 5*time.Second, time.Millisecond).Should(gomega.BeEquivalentTo(1))
 	e.close()
 	a.stop()
+	time.Sleep(900 * time.Millisecond) // longer than an idle agent stays
+	gate.open()
 	g.Eventually(func() uint64 { return u.Counters().Answered }, 5*time.Second).Should(gomega.BeEquivalentTo(1))
 	time.Sleep(700 * time.Millisecond) // longer than an agent with every answer delivered would stay
 	e.listen(e.address)
--- a/internal/agent/entry_test.go
+++ b/internal/agent/entry_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -39,10 +41,19 @@
 	messages []wire.Message
 }
 
+// ownHost is an address of loopback on which nobody else listens, so that nobody takes the port of an entry or of an
+// upstream that is closed for a while.
+var ownHost = fmt.Sprintf("127.%d.%d.3", 64+os.Getpid()>>8&63, os.Getpid()&255)
+
 func newTestEntry(t testing.TB, id string) *testEntry {
+	t.Helper()
+	return newTestEntryAt(t, id, "127.0.0.1")
+}
+
+func newTestEntryAt(t testing.TB, id, host string) *testEntry {
 	t.Helper()
 	e := &testEntry{t: t, id: id, incarnation: uint64(id[1]), results: map[uint64][]*wire.Result{}}
-	e.listen("127.0.0.1:0")
+	e.listen(host + ":0")
 	t.Cleanup(e.close)
 	return e
 }
--- a/internal/agent/links_test.go
+++ b/internal/agent/links_test.go
@@ -19,9 +19,10 @@
 func TestAnswerSurvivesACutLink(t *testing.T) {
 	g := gomega.NewWithT(t)
 	u := newUpstream(t, upstream.Faults{})
-	e := newTestEntry(t, "e1")
-	runAgent(t, u.URL(), []*testEntry{e})
-	e.send(e.start(1, work(250)))
+	e := newTestEntryAt(t, "e1", ownHost)
+	gate := newGate(t, u.URL())
+	runAgent(t, u.URL(), []*testEntry{e}, gate.install)
+	e.send(e.start(1))
 	g.Eventually(func() uint64 { return u.Counters().Starts }, 5*time.Second, time.Millisecond).Should(gomega.BeEquivalentTo(1))
 	e.cut()
 	g.Eventually(e.open, 5*time.Second, time.Millisecond).Should(gomega.BeEmpty())
@@ -30,6 +31,7 @@
 	g.Expect(received[*wire.QueryReply](e)[0].Running).To(gomega.Equal([]uint64{1}))
 	e.close()
 	g.Eventually(func() uint64 { return u.Counters().Answered }, 5*time.Second).Should(gomega.BeEquivalentTo(1))
+	gate.open()
 	time.Sleep(20 * time.Millisecond) // the agent has the answer and no link to send it on
 	g.Expect(e.result(1)).To(gomega.BeNil())
 	e.listen(e.address)
@@ -103,10 +105,12 @@
 	u := newUpstream(t, upstream.Faults{})
 	e := newTestEntry(t, "e1")
 	d := &mutableDialer{WebSocketDialer: link.WebSocketDialer{Token: token}, muted: make(chan struct{})}
-	runAgent(t, u.URL(), []*testEntry{e}, func(o *agent.Options) { o.Dialer = d })
-	e.send(e.start(1, work(100)))
+	gate := newGate(t, u.URL())
+	runAgent(t, u.URL(), []*testEntry{e}, gate.install, func(o *agent.Options) { o.Dialer = d })
+	e.send(e.start(1, func(s *wire.Start) { s.BudgetMillis = 30_000 }))
 	g.Eventually(func() uint64 { return u.Counters().Starts }, 5*time.Second, time.Millisecond).Should(gomega.BeEquivalentTo(1))
 	d.mute()
+	gate.open()
 	g.Eventually(e.hello, 15*time.Second).Should(gomega.HaveLen(2))
 	g.Expect(e.result(1)).To(gomega.BeNil())
 	g.Eventually(func() *wire.Result {
@@ -139,12 +143,13 @@
 	u := newUpstream(t, upstream.Faults{})
 	e1, e2 := newTestEntry(t, "e1"), newTestEntry(t, "e2")
 	e1.list = members(5, e1, e2)
-	runAgent(t, u.URL(), []*testEntry{e1}, func(o *agent.Options) { o.Slots, o.Queue = 1, 2 })
+	gate := newGate(t, u.URL())
+	runAgent(t, u.URL(), []*testEntry{e1}, gate.install, func(o *agent.Options) { o.Slots, o.Queue = 1, 2 })
 	e2.waitLinked() // learned from the list
 	e2.send(e2.start(1, keyed(4)))
 	g.Expect(e2.waitResult(1).Reason).To(gomega.Equal(wire.RefusedStaleList))
 	g.Expect(e2.waitResult(1).List.Version).To(gomega.BeEquivalentTo(5))
-	e2.send(e2.start(2, keyed(5), work(600)))
+	e2.send(e2.start(2, keyed(5)))
 	e2.send(e2.start(3, keyed(5)))
 	g.Eventually(func() []uint64 {
 		var attempts []uint64
@@ -162,6 +167,7 @@
 	keys := received[*wire.Records](e1)[0].Keys
 	g.Expect(keys).To(gomega.HaveLen(1), "the running task only; the refused one may run elsewhere")
 	g.Expect(keys[0].Key).To(gomega.Equal(e2.start(2).Key))
+	gate.open()
 	e2.send(e2.start(4, keyed(6)))
 	g.Expect(e2.waitResult(4).Reason).To(gomega.Equal(wire.RefusedFenced))
 	e2.send(e2.start(5))
