Wait until the agents have closed their connections to a refusing upstream

TestUpstreamsThatRefuseConnections gave the agents 500 ms to see the end of their idle connections. The check is unchanged.

--- a/internal/e2e/agent_test.go
+++ b/internal/e2e/agent_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
+	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -103,7 +108,9 @@
 	c.upstreamFaults(c.upstreams[3], map[string]any{"refuse": true})
 	// A request that is written to a pooled connection while the upstream closes it has an unknown outcome, truly. The
 	// agent sees the end of its idle connections first.
-	time.Sleep(500 * time.Millisecond)
+	for _, u := range c.upstreams {
+		c.eventually(5*time.Second, "the agent has closed its connections to "+u.name, func() error { return unconnected(u) })
+	}
 	j := newJob("charge", 1500*time.Millisecond, 20, 20)
 	r, err := submit(context.Background(), c.entries[0], j)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -117,6 +124,30 @@
 	g.Expect(c.untilFinal(c.entries[1], j, 5*time.Second).Outcome).To(gomega.Equal(api.OutcomeComplete))
 }
 
+// unconnected returns an error while a process holds a connection to the task address of an upstream, according to the
+// kernel's table of IPv4 connections. One that only the upstream has closed counts, too.
+func unconnected(u *upstream) error {
+	const remote, state = 2, 3 // columns of the table
+	const established, closeWait = "01", "08"
+	address, err := netip.ParseAddrPort(u.tasks)
+	if err != nil {
+		return err
+	}
+	ip := address.Addr().As4()
+	wanted := fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip[:]), address.Port())
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return err
+	}
+	for line := range strings.Lines(string(table)) {
+		columns := strings.Fields(line)
+		if columns[remote] == wanted && (columns[state] == established || columns[state] == closeWait) {
+			return fmt.Errorf("connected: %s", line)
+		}
+	}
+	return nil
+}
+
 // startsAt returns the number of tasks that an upstream started.
 func (c *cluster) startsAt(u *upstream) int {
 	c.t.Helper()
