Hold the answers until the cancellations have arrived in the generator's test

TestCancellations answered each job after 800 ms and expected a cancellation for every one, which a busy generator may send later. The fake entry waits for the cancellation of the key now. No check is changed.

--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"path"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,6 +27,8 @@
 	cancels int
 	answer  func(job *api.JobRequest, copyOf int) (*api.Answer, int)
 	delay   time.Duration
+	// cancelled is called with the key of each cancellation, and await before each answer; nil means no call.
+	cancelled, await func(key string)
 }
 
 func (f *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -33,6 +36,9 @@
 		f.mu.Lock()
 		f.cancels++
 		f.mu.Unlock()
+		if f.cancelled != nil {
+			f.cancelled(path.Base(r.URL.Path))
+		}
 		w.WriteHeader(http.StatusAccepted)
 		return
 	}
@@ -46,6 +52,9 @@
 	f.seen[r.Header.Get(api.HeaderKey)]++
 	f.mu.Unlock()
 	time.Sleep(f.delay)
+	if f.await != nil {
+		f.await(r.Header.Get(api.HeaderKey))
+	}
 	answer, status := f.answer(job, copyOf)
 	if answer == nil {
 		panic(http.ErrAbortHandler)
@@ -352,9 +361,23 @@
 func TestCancellations(t *testing.T) {
 	t.Parallel()
 	g := gomega.NewWithT(t)
-	entry := &fakeEntry{delay: 800 * time.Millisecond, answer: func(*api.JobRequest, int) (*api.Answer, int) {
+	entry := &fakeEntry{answer: func(*api.JobRequest, int) (*api.Answer, int) {
 		return refused(api.OutcomeNotRun, wire.ReasonCancelled)
 	}}
+	// An answer that comes before the cancellation of its job would make the generator cancel fewer jobs.
+	const limit = 5 * time.Second
+	var cancelled sync.Map // key to a channel that is closed by the cancellation
+	signal := func(key string) chan struct{} {
+		c, _ := cancelled.LoadOrStore(key, make(chan struct{}))
+		return c.(chan struct{})
+	}
+	entry.cancelled = func(key string) { close(signal(key)) }
+	entry.await = func(key string) {
+		select {
+		case <-signal(key):
+		case <-time.After(limit):
+		}
+	}
 	result := run(t, entry, func(c *loadgen.Config) {
 		c.Service.Load.CancelShare = 1
 		c.Service.Load.CancelInterval = 100 * time.Millisecond
