Refuse a key as not run for lack of a document only while the ownership is proved

The answer for lack of a document, or because of one, now passes the same check as every other refusal of a key (P4): it is unknown, recovering, unless the lease or the links prove the ownership. The new test fails without the change. The log showed the order of events: stopped 53:05.604, started 53:05.606 without the store, refusal 2 s later; usually the test ends before that.

--- a/internal/entry/ownership_test.go
+++ b/internal/entry/ownership_test.go
@@ -77,3 +77,25 @@
 	p.confirmed(confirmBit | 5)
 	g.Expect(c.ownsKeys()).To(gomega.BeFalse(), "the answer came from another run")
 }
+
+// Guards against a false not_run of a key by an entry that began again while it was cut off and knows no document.
+func TestMissingDocumentProvesNothingWithoutOwnership(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Now()
+	c := newOwner(start)
+	refused := func(key string) wire.Outcome {
+		var answer *wire.Answer
+		c.submitted(submission{
+			action: wire.ForwardSubmit, job: wire.Job{Service: "bench", Key: key},
+			reply: func(r *wire.ForwardReply) { answer = r.Answer },
+		})
+		g.Expect(answer).NotTo(gomega.BeNil())
+		return answer.Outcome
+	}
+	c.startedAt = start.Add(-coldTime) // requests wait for documents no more
+	c.now = start.Add(400 * time.Millisecond)
+	g.Expect(refused("k")).To(gomega.Equal(wire.OutcomeNotRun), "the lease excludes an expulsion")
+	c.now = start.Add(time.Minute)
+	g.Expect(refused("k")).To(gomega.Equal(wire.OutcomeUnknown))
+	g.Expect(refused("")).To(gomega.Equal(wire.OutcomeNotRun), "nobody else can have run a job without a key")
+}
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -42,6 +42,10 @@
 		}
 		refusal := c.checkJob(service, &s.job)
 		if refusal != nil {
+			if s.job.Key != "" {
+				// An entry that was cut off may lack a document under which another one has run the key.
+				refusal.Answer = c.vouch(refusal.Answer)
+			}
 			s.reply(refusal)
 			return
 		}
