Ask an expelled entry that began again without documents for a key

The false not_run of a new run without documents showed only when the test was slow enough to ask it.

--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -89,6 +90,19 @@
 		}
 		g.Expect(c.startsOf(j.key, 4)).To(gomega.Equal(4))
 	}
+	// The entry begins again, still cut off, and knows no document.
+	c.eventually(20*time.Second, "the isolated entry begins again", func() error {
+		s, err := c.stateOf(victim)
+		if err == nil && s.Incarnation == before.Incarnation {
+			return errors.New("the former run goes on")
+		}
+		return err
+	})
+	time.Sleep(2500 * time.Millisecond) // longer than it lets requests wait for documents
+	r, err := submit(context.Background(), victim, keys[0])
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	load.note(keys[0], r, nil)
+	g.Expect(r.Outcome).To(gomega.Equal(api.OutcomeUnknown), "%+v", r.Answer)
 	c.rejoin(victim)
 	c.waitSettled(15 * time.Second)
 	time.Sleep(500 * time.Millisecond)
