Log the faults of HTTP clients at debug, and name the retention slack once

A probe of a TLS listener, which is how refused connections are found, made net/http write a line without level or prefix for each attempt. Such lines go to the log of the process at debug now, and panics at error, since a hidden panic would be worse than the noise. The retention slack stood in the agent's records and in the table of submissions with the same value; it is one constant of internal/wire. The service subcommands use the program name.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/logging"
 )
 
 // Errors of this package.
@@ -113,7 +114,9 @@
 		}
 		s.listener = listener
 	}
-	server := &http.Server{Handler: s.echo, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler: s.echo, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: logging.Standard(s.options.Log, "admin"),
+	}
 	failed := make(chan error, 1)
 	listener := s.listener
 	if s.options.TLS != nil {
--- a/internal/agent/records/forget.go
+++ b/internal/agent/records/forget.go
@@ -13,7 +13,7 @@
 		t.raiseFloor(now)
 	}
 	t.refused[ref] = why
-	t.refusals.push(refusalExpiry{ref, now.Add(t.cfg.Retention + retentionSlack)})
+	t.refusals.push(refusalExpiry{ref, now.Add(t.cfg.Retention + wire.RetentionSlack)})
 }
 
 // raiseFloor forgets the oldest refusal. Every attempt of that home with the same or a lower number and without a
@@ -24,7 +24,7 @@
 	delete(t.refused, oldest.ref)
 	f := t.floors[oldest.ref.HomeIncarnation]
 	f.attempt = max(f.attempt, oldest.ref.Attempt)
-	f.expires = now.Add(t.cfg.Retention + retentionSlack)
+	f.expires = now.Add(t.cfg.Retention + wire.RetentionSlack)
 	t.floors[oldest.ref.HomeIncarnation] = f
 }
 
--- a/internal/agent/records/progress.go
+++ b/internal/agent/records/progress.go
@@ -35,7 +35,7 @@
 	kept.List = nil
 	r.result = &kept
 	r.bytes = size(&kept)
-	r.expires = now.Add(t.cfg.Retention + retentionSlack)
+	r.expires = now.Add(t.cfg.Retention + wire.RetentionSlack)
 	t.bytes += r.bytes
 	t.finished.push(r)
 	t.withResult.push(r)
--- a/internal/agent/records/records.go
+++ b/internal/agent/records/records.go
@@ -11,10 +11,6 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
-// Retention slack. A home counts the retention window from the completion of the job. The job can complete up to
-// its longest deadline after one of its tasks, so a record must outlive the window by that time and the clock skew.
-const retentionSlack = wire.MaxDeadline + 5*time.Second
-
 // clockSkew is the largest difference that is expected between two clocks. It is allowed for before a Start that was
 // read late is refused: the home may have forgotten the key by then.
 const clockSkew = 2 * time.Second
--- a/internal/command/service.go
+++ b/internal/command/service.go
@@ -91,7 +91,7 @@
 // needArgument reports a missing positional argument.
 func (s *serviceCommand) needArgument(std streams, name string) bool {
 	if s.argument == "" {
-		fmt.Fprintf(std.err, "coltsfootspur: the argument %s is missing\n", name)
+		fmt.Fprintf(std.err, "%s: the argument %s is missing\n", programName, name)
 		return false
 	}
 	return true
--- a/internal/command/service_file.go
+++ b/internal/command/service_file.go
@@ -27,7 +27,7 @@
 	}
 	body, err := readDocument(s.argument)
 	if err != nil {
-		fmt.Fprintf(std.err, "coltsfootspur: the file cannot be read: %v\n", err)
+		fmt.Fprintf(std.err, "%s: the file cannot be read: %v\n", programName, err)
 		return nil, nil, ExitFailure, false
 	}
 	if parsed, err = document.Parse(body); err != nil {
--- a/internal/command/service_list.go
+++ b/internal/command/service_list.go
@@ -29,7 +29,7 @@
 		}
 		out.result(append([]document.Document{}, documents...), func() { out.documents(documents) })
 		for _, c := range corrupt {
-			fmt.Fprintf(std.err, "coltsfootspur: %s\n", eris.ToString(c, false))
+			fmt.Fprintf(std.err, "%s: %s\n", programName, eris.ToString(c, false))
 		}
 		if len(corrupt) > 0 {
 			return eris.Wrapf(document.ErrCorrupt, "%d records", len(corrupt))
--- a/internal/command/service_output.go
+++ b/internal/command/service_output.go
@@ -30,7 +30,7 @@
 	encoder := json.NewEncoder(o.std.out)
 	encoder.SetEscapeHTML(false)
 	if err := encoder.Encode(v); err != nil {
-		fmt.Fprintf(o.std.err, "coltsfootspur: the result cannot be printed: %v\n", err)
+		fmt.Fprintf(o.std.err, "%s: the result cannot be printed: %v\n", programName, err)
 		return ExitFailure
 	}
 	return ExitOK
@@ -51,7 +51,7 @@
 func (o *output) fail(err error) int {
 	class := classify(err)
 	if !o.json {
-		fmt.Fprintf(o.std.err, "coltsfootspur: %s\n", eris.ToString(err, false))
+		fmt.Fprintf(o.std.err, "%s: %s\n", programName, eris.ToString(err, false))
 		return class.exit
 	}
 	e := jsonError{Code: class.code, Message: eris.ToString(err, false)}
--- a/internal/command/service_watch.go
+++ b/internal/command/service_watch.go
@@ -43,7 +43,7 @@
 		}
 		if err != nil {
 			if !failing {
-				fmt.Fprintf(std.err, "coltsfootspur: %s; trying again\n", eris.ToString(err, false))
+				fmt.Fprintf(std.err, "%s: %s; trying again\n", programName, eris.ToString(err, false))
 			}
 			failing = true
 			pause(ctx, watchRetry)
@@ -109,7 +109,7 @@
 func (s *serviceCommand) printChanges(out *output, registry *document.Registry, entries []platform.Entry) {
 	changes, corrupt := registry.ApplySnapshot(entries)
 	for _, c := range corrupt {
-		fmt.Fprintf(out.std.err, "coltsfootspur: %s\n", eris.ToString(c, false))
+		fmt.Fprintf(out.std.err, "%s: %s\n", programName, eris.ToString(c, false))
 	}
 	for _, c := range changes {
 		d := c.Document
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/admin"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/logging"
 )
 
 // Errors of this package.
@@ -126,6 +127,7 @@
 func (e *Entry) httpServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: logging.Standard(e.log, "entry"),
 	}
 }
 
--- a/internal/submission/config.go
+++ b/internal/submission/config.go
@@ -32,8 +32,6 @@
 const (
 	// clockSkew is the largest difference between two clocks that a key's time is trusted with.
 	clockSkew = 2 * time.Second
-	// slack covers the time between the start of a task and the completion of its job, and the clock skew.
-	slack = wire.MaxDeadline + 5*time.Second
 	// minRetention keeps the window well above the longest deadline.
 	minRetention = 2 * wire.MaxDeadline
 	// retryShort is the advice to callers when the state changes within seconds.
@@ -76,7 +74,7 @@
 // have worked for it was asked or is taken for dead, and the keys it may have run have expired.
 func (c Config) DepartedKeep() time.Duration {
 	c = c.withDefaults()
-	return c.AgentMemory + c.Retention + slack
+	return c.AgentMemory + c.Retention + wire.RetentionSlack
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/submission/merge.go
+++ b/internal/submission/merge.go
@@ -25,7 +25,7 @@
 		t.checkDigest(now, e, record)
 		return
 	}
-	k := t.recovered.get(record.Key, record, now.Add(t.cfg.Retention+slack))
+	k := t.recovered.get(record.Key, record, now.Add(t.cfg.Retention+wire.RetentionSlack))
 	for _, task := range record.Done {
 		id := openTask{record.Key, task.Task}
 		switch task.State {
@@ -44,7 +44,7 @@
 
 func (t *Table) mergeOpen(now time.Time, source reporter, task openTask, r *report) {
 	t.recovered.addOpen(source, task)
-	t.recovered.keys[task.key].openUntil = now.Add(slack)
+	t.recovered.keys[task.key].openUntil = now.Add(wire.RetentionSlack)
 	if r != nil {
 		r.listed[task] = struct{}{}
 	}
--- a/internal/submission/roster.go
+++ b/internal/submission/roster.go
@@ -46,7 +46,7 @@
 	r.byID = make(map[string][]*agentInfo)
 	r.heard = make(map[uint64]struct{})
 	r.memory = cfg.AgentMemory
-	r.window = cfg.Retention + slack
+	r.window = cfg.Retention + wire.RetentionSlack
 }
 
 func (r *roster) hear(incarnation uint64) { r.heard[incarnation] = struct{}{} }
--- a/internal/submission/round.go
+++ b/internal/submission/round.go
@@ -95,7 +95,7 @@
 	// An entry of this table comes before a pointer, but it can be a job of a former incarnation that ends as not_run
 	// and is forgotten. The pointer counts then.
 	for _, key := range m.Keys {
-		t.pointers.add(key, ref, now.Add(t.cfg.Retention+slack))
+		t.pointers.add(key, ref, now.Add(t.cfg.Retention+wire.RetentionSlack))
 	}
 	if !m.Last {
 		return Actions{}
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -22,4 +22,7 @@
 	MaxDocument = 256 << 10
 	// MaxDeadline is the longest time in which a caller can ask for an answer.
 	MaxDeadline = 60 * time.Second
+	// RetentionSlack is how much longer than the retention window records are kept. A home counts the window from the
+	// completion of the job, which can be the longest deadline after the start of a task; 5 s cover the clock skew.
+	RetentionSlack = MaxDeadline + 5*time.Second
 )
