--- a/internal/command/agent_gone.go
+++ b/internal/command/agent_gone.go
@@ -9,8 +9,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// agentGoneCommand returns the subcommand by which an operator ends the wait for an agent that will not come back.
 func agentGoneCommand() *subcommand {
-	c := newSubcommand("agent-gone", "vouch to an entry that an agent is over and will not go on")
+	c := newSubcommand("agent-gone", "state to an entry that an agent is gone for good, so that keys which wait for it can run")
 	o := &operator{}
 	o.register(c.settings)
 	var id string
