--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"net/url"
 	"time"
 
@@ -121,13 +122,13 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.Slots, DefaultSlots)
-	setDefault(&o.Connections, DefaultConnections)
-	setDefault(&o.Queue, DefaultQueue)
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.Records, DefaultRecords)
-	setDefault(&o.ResultBytes, DefaultResultBytes)
-	setDefault(&o.StopTimeout, DefaultStopTimeout)
+	o.Slots = cmp.Or(o.Slots, DefaultSlots)
+	o.Connections = cmp.Or(o.Connections, DefaultConnections)
+	o.Queue = cmp.Or(o.Queue, DefaultQueue)
+	o.Retention = cmp.Or(o.Retention, DefaultRetention)
+	o.Records = cmp.Or(o.Records, DefaultRecords)
+	o.ResultBytes = cmp.Or(o.ResultBytes, DefaultResultBytes)
+	o.StopTimeout = cmp.Or(o.StopTimeout, DefaultStopTimeout)
 	if o.Log == nil {
 		o.Log = log.Log
 	}
@@ -139,12 +140,6 @@
 	}
 }
 
-func setDefault[T int | time.Duration](target *T, fallback T) {
-	if *target == 0 {
-		*target = fallback
-	}
-}
-
 func validUpstream(u *url.URL) bool {
 	return u != nil && u.Scheme == "http" && u.Host != ""
 }
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/apex/log"
@@ -81,14 +82,14 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.AgentMemory, DefaultAgentMemory)
-	setDefault(&o.TableEntries, DefaultTableEntries)
-	setDefault(&o.TableBytes, DefaultTableBytes)
-	setDefault(&o.LeaseTTL, DefaultLeaseTTL)
-	setDefault(&o.ExpulsionDelay, DefaultExpulsionDelay)
-	setDefault(&o.ReadinessDelay, DefaultReadinessDelay)
-	setDefault(&o.StopTimeout, DefaultStopTimeout)
+	o.Retention = cmp.Or(o.Retention, DefaultRetention)
+	o.AgentMemory = cmp.Or(o.AgentMemory, DefaultAgentMemory)
+	o.TableEntries = cmp.Or(o.TableEntries, DefaultTableEntries)
+	o.TableBytes = cmp.Or(o.TableBytes, DefaultTableBytes)
+	o.LeaseTTL = cmp.Or(o.LeaseTTL, DefaultLeaseTTL)
+	o.ExpulsionDelay = cmp.Or(o.ExpulsionDelay, DefaultExpulsionDelay)
+	o.ReadinessDelay = cmp.Or(o.ReadinessDelay, DefaultReadinessDelay)
+	o.StopTimeout = cmp.Or(o.StopTimeout, DefaultStopTimeout)
 	if o.Clock == nil {
 		o.Clock = clock.System{}
 	}
@@ -100,10 +101,3 @@
 	}
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- /dev/null
+++ b/internal/wire/handshake.go
@@ -0,0 +1,54 @@
+package wire
+
+import "time"
+
+// Hello is the first message of the dialling side.
+type Hello struct {
+	Protocol    uint8     `cbor:"1,keyasint"`
+	Role        Role      `cbor:"2,keyasint"`
+	ID          string    `cbor:"3,keyasint"`
+	Incarnation uint64    `cbor:"4,keyasint"`
+	DataCentre  string    `cbor:"5,keyasint"`
+	Region      string    `cbor:"6,keyasint"`
+	StartedAt   time.Time `cbor:"7,keyasint"`
+	// Services, Slots and Leaving are set by agents only.
+	Services []string `cbor:"8,keyasint,omitempty"`
+	Slots    uint16   `cbor:"9,keyasint,omitempty"`
+	Leaving  bool     `cbor:"10,keyasint,omitempty"`
+	// ListVersion is the version of the list of entries that the sender has.
+	ListVersion uint64 `cbor:"11,keyasint"`
+	// DocumentRevisions maps a service to the revision that the sender has.
+	DocumentRevisions map[string]uint64 `cbor:"12,keyasint,omitempty"`
+	// MemoryMB and Accelerators are what the agent's worker offers.
+	MemoryMB     uint32 `cbor:"13,keyasint,omitempty"`
+	Accelerators uint16 `cbor:"14,keyasint,omitempty"`
+}
+
+// Welcome is the answer to Hello. A non-empty Refused tells why the link is closed.
+type Welcome struct {
+	Protocol          uint8             `cbor:"1,keyasint"`
+	ID                string            `cbor:"2,keyasint"`
+	Incarnation       uint64            `cbor:"3,keyasint"`
+	DataCentre        string            `cbor:"4,keyasint"`
+	Region            string            `cbor:"5,keyasint"`
+	HeartbeatMillis   uint32            `cbor:"6,keyasint"`
+	List              *EntryList        `cbor:"7,keyasint,omitempty"`
+	DocumentRevisions map[string]uint64 `cbor:"8,keyasint,omitempty"`
+	Refused           string            `cbor:"9,keyasint,omitempty"`
+}
+
+// Ping asks the peer to prove that it is reachable. It is sent on an idle link only.
+type Ping struct {
+	Sequence       uint64 `cbor:"1,keyasint"`
+	ListVersion    uint64 `cbor:"2,keyasint,omitempty"`
+	DocumentDigest uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Pong answers the Ping with the same sequence number.
+type Pong struct {
+	Sequence       uint64 `cbor:"1,keyasint"`
+	ListVersion    uint64 `cbor:"2,keyasint,omitempty"`
+	DocumentDigest uint64 `cbor:"3,keyasint,omitempty"`
+	// HeartbeatMillis is the interval that the sender asks for now; 0 keeps the former one.
+	HeartbeatMillis uint32 `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/wire/members.go
@@ -0,0 +1,54 @@
+package wire
+
+import "time"
+
+// MemberState is the state of an entry in the list of entries.
+type MemberState uint8
+
+// States of a member.
+const (
+	// MemberActive members can be the home of keys.
+	MemberActive MemberState = 1
+	// MemberLeaving members finish the jobs they hold and are the home of no key.
+	MemberLeaving MemberState = 2
+)
+
+// Member is one entry in the list of entries. Incarnation differs between two runs of the same entry.
+type Member struct {
+	ID          string      `cbor:"1,keyasint" json:"id"`
+	Incarnation uint64      `cbor:"2,keyasint" json:"incarnation"`
+	Address     string      `cbor:"3,keyasint" json:"address"`
+	DataCentre  string      `cbor:"4,keyasint" json:"data_centre"`
+	Region      string      `cbor:"5,keyasint" json:"region"`
+	State       MemberState `cbor:"6,keyasint" json:"state"`
+}
+
+// Departed is an entry that was removed from the list. Clean is true when it handed its table over before.
+type Departed struct {
+	ID          string    `cbor:"1,keyasint" json:"id"`
+	Incarnation uint64    `cbor:"2,keyasint" json:"incarnation"`
+	Clean       bool      `cbor:"3,keyasint" json:"clean"`
+	AtVersion   uint64    `cbor:"4,keyasint" json:"at_version"`
+	At          time.Time `cbor:"5,keyasint" json:"at"`
+}
+
+// EntryList is the versioned list of entries. A higher version replaces a lower one as a whole.
+type EntryList struct {
+	Version  uint64     `cbor:"1,keyasint" json:"version"`
+	Members  []Member   `cbor:"2,keyasint" json:"members"`
+	Departed []Departed `cbor:"3,keyasint,omitempty" json:"departed,omitempty"`
+	// Stopped are statements of members that stopped without the store. They are no part of the list in the store.
+	Stopped []Stopped `cbor:"4,keyasint,omitempty" json:"-"`
+}
+
+// Stopped is the statement of a member that stops without a change of the list: this incarnation takes no new key,
+// under any list, and never will. Only the member itself makes it.
+type Stopped struct {
+	ID          string `cbor:"1,keyasint" json:"id"`
+	Incarnation uint64 `cbor:"2,keyasint" json:"incarnation"`
+	// Done is set when the member runs nothing more and its whole table was confirmed by the new homes under the list
+	// of ListVersion. At is the time of that.
+	Done        bool      `cbor:"3,keyasint,omitempty" json:"done"`
+	ListVersion uint64    `cbor:"4,keyasint,omitempty" json:"list_version"`
+	At          time.Time `cbor:"5,keyasint" json:"at"`
+}
--- /dev/null
+++ b/internal/wire/ownership.go
@@ -0,0 +1,41 @@
+package wire
+
+import "time"
+
+// Inherit asks a member to adopt List and to name the keys of its table that now belong to the sender.
+type Inherit struct {
+	List *EntryList `cbor:"1,keyasint"`
+	// Round numbers the searches of the sender. It is returned with the answer.
+	Round uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Inherited answers Inherit in one or more parts.
+type Inherited struct {
+	ListVersion uint64    `cbor:"1,keyasint"`
+	Keys        []KeyHash `cbor:"2,keyasint,omitempty"`
+	Last        bool      `cbor:"3,keyasint,omitempty"`
+	// Round is that of the Inherit.
+	Round uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// HandoverItem is one finished submission.
+type HandoverItem struct {
+	Key     KeyHash   `cbor:"1,keyasint"`
+	Digest  [16]byte  `cbor:"2,keyasint"`
+	Expires time.Time `cbor:"3,keyasint"`
+	// Answer is nil when only the marker is left.
+	Answer *Answer `cbor:"4,keyasint,omitempty"`
+}
+
+// Handover passes finished submissions of a leaving entry to their new home.
+type Handover struct {
+	Sequence    uint64         `cbor:"1,keyasint"`
+	ListVersion uint64         `cbor:"2,keyasint"`
+	Items       []HandoverItem `cbor:"3,keyasint"`
+	Last        bool           `cbor:"4,keyasint,omitempty"`
+}
+
+// HandoverAck confirms a Handover.
+type HandoverAck struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/internal/wire/records.go
@@ -0,0 +1,39 @@
+package wire
+
+// TaskRecord is what an agent knows about one task.
+type TaskRecord struct {
+	Task    uint16       `cbor:"1,keyasint"`
+	State   AttemptState `cbor:"2,keyasint"`
+	Status  uint16       `cbor:"3,keyasint,omitempty"`
+	Headers []Header     `cbor:"4,keyasint,omitempty"`
+	Body    []byte       `cbor:"5,keyasint,omitempty"`
+	// Dropped is set when the answer was not kept because the byte budget was exceeded.
+	Dropped bool `cbor:"6,keyasint,omitempty"`
+}
+
+// KeyRecord groups the records of one submission.
+type KeyRecord struct {
+	Key   KeyHash      `cbor:"1,keyasint"`
+	Tasks uint16       `cbor:"2,keyasint"`
+	Done  []TaskRecord `cbor:"3,keyasint"`
+	// Digest is that of the Start.
+	Digest [16]byte `cbor:"4,keyasint"`
+}
+
+// Records answers Collect, in one or more parts; Last is set in the final part. Parts of several answers can arrive
+// interleaved.
+type Records struct {
+	Expelled            string      `cbor:"1,keyasint"`
+	ExpelledIncarnation uint64      `cbor:"2,keyasint"`
+	ListVersion         uint64      `cbor:"3,keyasint"`
+	Keys                []KeyRecord `cbor:"4,keyasint,omitempty"`
+	Last                bool        `cbor:"5,keyasint,omitempty"`
+	// Answer numbers the answers of one run of the agent, and Part the parts of an answer from 0.
+	Answer uint64 `cbor:"6,keyasint,omitempty"`
+	Part   uint16 `cbor:"7,keyasint,omitempty"`
+	// Expired is set when a task that an earlier answer listed as queued or running may have started although this
+	// answer does not list it: its record has expired or was replaced by one of another home.
+	Expired bool `cbor:"8,keyasint,omitempty"`
+	// Round is that of the Collect.
+	Round uint64 `cbor:"9,keyasint,omitempty"`
+}
