--- a/internal/dispatch/price.go
+++ b/internal/dispatch/price.go
@@ -3,8 +3,8 @@
 // Parameters of the price of a slot.
 const (
 	// slotPrice is the price of a usual slot for the widest job while no upstream has a free slot, in usual service
-	// times. Trials with 730 upstreams at 0.9 load: the p99 slowdown of short jobs is 2.8 without a price, 2.7 with
-	// 4, 2.4 with 8 and 2.2 with 16 and with 32.
+	// times. A lower price lets wide jobs take the fast slots; a higher one makes them wait for longer than small jobs
+	// gain. docs/measurements.md compares it with no price and with 32.
 	slotPrice = 16
 	// wideWork is the work of a job, in tasks of the mean service time of all kinds, at which the base of the price is one
 	// half.
