Count whole log lines against the bound, and end a line that was cut

Cause: the logfmt handler writes each field by itself, and the bounded writer took each piece for a line.

Ruled out: an output that takes nothing (the drops carry no error), a queue that is full (time stamps and arrival agree).

Change: pieces are put together up to the end of the line before they count. A line that the output took in part is ended before the next one.

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -28,10 +29,11 @@
 	cause   atomic.Value // text of the last error of the output
 	ended   chan struct{}
 
-	mu     sync.Mutex
-	closed bool
-	second int64
-	count  int
+	mu      sync.Mutex
+	closed  bool
+	second  int64
+	count   int
+	partial []byte // the beginning of a line whose end was not written yet
 }
 
 // NewBounded returns a writer to out. One goroutine writes until Close.
@@ -42,20 +44,32 @@
 	return b
 }
 
-// Write takes one line. It never returns an error.
-func (b *Bounded) Write(line []byte) (int, error) {
+// Write takes lines, also in pieces: the logfmt handler writes each field by itself. It never returns an error.
+func (b *Bounded) Write(piece []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.partial = append(b.partial, piece...)
+	for {
+		end := bytes.IndexByte(b.partial, '\n')
+		if end < 0 {
+			return len(piece), nil
+		}
+		b.take(b.partial[:end+1])
+		b.partial = b.partial[end+1:]
+	}
+}
+
+// take queues a copy of one whole line.
+func (b *Bounded) take(line []byte) {
 	if b.closed || !b.admit(time.Now().Unix()) {
 		b.dropped.Add(1)
-		return len(line), nil
+		return
 	}
 	select {
-	case b.lines <- append([]byte(nil), line...):
+	case b.lines <- bytes.Clone(line):
 	default:
 		b.dropped.Add(1)
 	}
-	return len(line), nil
 }
 
 // admit reports whether the rate allows another line in a second.
@@ -69,27 +83,34 @@
 
 func (b *Bounded) write(out io.Writer) {
 	defer close(b.ended)
+	cut := false // the output ends with a part of a line
 	for line := range b.lines {
-		if err := writeLine(out, line); err != nil {
+		if cut {
+			line = append([]byte{'\n'}, line...)
+		}
+		var err error
+		if cut, err = writeLine(out, line); err != nil {
 			b.dropped.Add(1)
 			b.cause.Store(err.Error())
 			continue
 		}
 		if n := b.dropped.Swap(0); n > 0 {
 			note := fmt.Sprintf("level=warn message=\"log: lines were dropped\" count=%d error=%q\n", n, b.cause.Swap(""))
-			if err := writeLine(out, []byte(note)); err != nil {
+			if cut, err = writeLine(out, []byte(note)); err != nil {
 				b.dropped.Add(n)
 			}
 		}
 	}
 }
 
-// writeLine writes a line. An output that is a full pipe in non-blocking mode gets some time to be read.
-func writeLine(out io.Writer, line []byte) error {
+// writeLine writes a line. An output that is a full pipe in non-blocking mode gets some time to be read. Cut tells whether
+// a part of the line was written before the error.
+func writeLine(out io.Writer, line []byte) (cut bool, err error) {
 	for try := 0; ; try++ {
 		n, err := out.Write(line)
+		cut = cut || n > 0
 		if err == nil || try == maxWriteTries {
-			return err
+			return cut && err != nil, err
 		}
 		line = line[n:]
 		time.Sleep(writePause)
