Order the processes of an agent by their fencing tokens at the entry

Cause: an entry took any process that it had not seen last for a newer one. An entry that was paused takes the links of a killed agent and of its successor in any order; the buffered load of the killed one then freed tasks that the successor was running, and they ran twice.

Ruled out by reading: the silence times (an entry counts 900 ms from what it heard, an agent 400 ms and a lease of 400 ms from what was echoed), offers that arrive on an old link, stale starts of a killed agent (fenced by the first list of its successor).

Change: a task remembers the process that got it; a load with a lower token than that of an open one in the same life of the worker is ignored and logged; a resumed link asks for the offers of just that process.

Measured: TestFormerAgentProcessFreesNothing fails before the change; platform tests pass.

--- a/internal/jobentry/agents.go
+++ b/internal/jobentry/agents.go
@@ -34,11 +34,7 @@
 		"agent": id, "incarnation": hello.Incarnation, "data_centre": hello.DataCentre, "same_process": sameProcess,
 	}).Info("entry: link to an agent is open")
 	c.scheduler.AgentUp(id, hello.Incarnation, hello.DataCentre)
-	first := wire.Offers{SentMicros: clock.Micros(now), Resume: true}
-	if sameProcess {
-		first.Outstanding = c.scheduler.Outstanding(id)
-	}
-	c.send(a, &first)
+	c.send(a, &wire.Offers{SentMicros: clock.Micros(now), Resume: true, Outstanding: c.scheduler.Outstanding(id)})
 	if c.body != nil {
 		c.send(a, &wire.CatalogPush{Version: catalog.VersionOf(c.entry.Catalog()), Body: c.body})
 	}
@@ -130,8 +126,9 @@
 	if m.Info != nil {
 		c.scheduler.SetWorker(a.id, *m.Info)
 	}
-	if m.Load != nil {
-		c.scheduler.Report(now, a.id, *m.Load)
+	if m.Load != nil && !c.scheduler.Report(now, a.id, *m.Load) {
+		c.log.WithFields(log.Fields{"agent": a.id, "incarnation": a.incarnation, "fence": m.Load.Fence}).
+			Info("entry: load of a replaced agent process is ignored")
 	}
 }
 
--- a/internal/scheduler/agents.go
+++ b/internal/scheduler/agents.go
@@ -9,15 +9,17 @@
 
 // agent is what the entry knows of one agent and its worker.
 type agent struct {
-	id       AgentID
-	near     bool // in the data centre of the entry
-	linked   bool
-	life     uint64 // incarnation of the agent's process
-	worker   wire.WorkerInfo
-	load     wire.WorkerLoad
-	loaded   bool
-	replaced bool // a new process has not shown yet that the runs of the former one are over
-	tasks    map[uint64]*task
+	id     AgentID
+	near   bool // in the data centre of the entry
+	linked bool
+	life   uint64 // incarnation of the agent's process at the other end of the link
+	// fence is the highest fencing token that the present life of the worker has accepted. It orders the processes of the
+	// agent.
+	fence  uint64
+	worker wire.WorkerInfo
+	load   wire.WorkerLoad
+	loaded bool
+	tasks  map[uint64]*task
 	// unseenCPU and unseenWork are those of offers that the last load does not include, in thousandths of a core and
 	// the same times milliseconds.
 	unseenCPU, unseenWork int64
@@ -50,20 +52,21 @@
 		s.list = append(s.list, a)
 	}
 	a.near = dataCentre == s.config.DataCentre
-	a.replaced = a.replaced || a.life != life
 	a.loaded = false
 	a.linked, a.life = true, life
 }
 
-// Outstanding returns the numbers of the offers at an agent.
+// Outstanding returns the numbers of the offers that the process of an agent at the other end of the link has got.
 func (s *Scheduler) Outstanding(id AgentID) []uint64 {
 	a := s.agents[id]
 	if a == nil {
 		return nil
 	}
 	numbers := make([]uint64, 0, len(a.tasks))
-	for number := range a.tasks {
-		numbers = append(numbers, number)
+	for number, t := range a.tasks {
+		if t.life == a.life {
+			numbers = append(numbers, number)
+		}
 	}
 	slices.Sort(numbers)
 	return numbers
@@ -90,30 +93,37 @@
 
 // SetWorker takes what the worker beside an agent has announced.
 func (s *Scheduler) SetWorker(id AgentID, info wire.WorkerInfo) {
-	if a := s.agents[id]; a != nil {
-		a.worker = info
+	a := s.agents[id]
+	if a == nil || info.Life < a.worker.Life {
+		return // the news is that of a replaced process of the agent
 	}
+	if info.Life > a.worker.Life {
+		a.fence = 0 // a new life of a worker has accepted no token
+	}
+	a.worker = info
 }
 
-// Report takes the load of the worker beside an agent.
-func (s *Scheduler) Report(_ time.Time, id AgentID, load wire.WorkerLoad) {
+// Report takes the load of the worker beside an agent. It returns false for a report of a process that another one has
+// replaced: links of both can be open for a moment, in any order, when the entry was paused.
+func (s *Scheduler) Report(_ time.Time, id AgentID, load wire.WorkerLoad) bool {
 	a := s.agents[id]
-	if a == nil || !a.linked {
-		return
+	if a == nil || !a.linked || load.Fence < a.fence {
+		return false
 	}
 	a.load, a.loaded = load, true
 	a.recount()
-	if a.replaced && load.Open {
-		a.replaced = false
+	if load.Open {
+		a.fence = load.Fence // an agent opens after the worker has accepted its token
 		s.endForeign(a)
 	}
+	return true
 }
 
-// endForeign frees the tasks whose runs belonged to an earlier process of the agent: an agent takes new work only after
+// endForeign frees the tasks whose runs belonged to earlier processes of the agent: an agent takes new work only after
 // it has seen all former runs end.
 func (s *Scheduler) endForeign(a *agent) {
 	for _, t := range a.tasks {
-		if t.state == taskUncertain {
+		if t.state == taskUncertain && t.life != a.life {
 			s.loseRun(t)
 		}
 	}
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -186,7 +186,7 @@
 
 func (s *Scheduler) offer(now time.Time, t *task, a *agent) {
 	s.number++
-	t.state, t.agent, t.offer, t.began = taskOffered, a, s.number, false
+	t.state, t.agent, t.life, t.offer, t.began = taskOffered, a, a.life, s.number, false
 	s.offers[t.offer] = t
 	a.tasks[t.offer] = t
 	a.recount()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -104,6 +104,7 @@
 	avoid    []AgentID // where a run did not come to its end
 	offer    uint64
 	agent    *agent
+	life     uint64 // of the process of the agent that got the offer
 	began    bool
 	// mayHaveRun is set once a run of the task has begun or may have.
 	mayHaveRun bool
@@ -356,7 +357,7 @@
 		}
 	}
 	for _, t := range s.offers {
-		resuming := t.agent.linked && !t.agent.replaced // the agent tells what became of the task
+		resuming := t.agent.linked && t.life == t.agent.life // the agent tells what became of the task
 		if t.state == taskUncertain && !resuming && !t.overAt.After(now) {
 			s.loseRun(t)
 		}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -180,3 +180,30 @@
 	g.Expect(answers).To(gomega.HaveLen(1))
 	g.Expect(answers[0].Outcome).To(gomega.Equal(scheduler.Unreachable))
 }
+
+// Guards against a second run when an entry that was paused takes a link of a former agent process after that of the
+// present one: the buffered load of the former says nothing about what the present one holds.
+func TestFormerAgentProcessFreesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := withAgents()
+	present, former := load(16), load(16)
+	present.Fence, former.Fence = 2, 1
+	s.AgentUp("a", 2, "dc")
+	s.SetWorker("a", wire.WorkerInfo{Service: "bench", MilliCPU: 16000, MemoryMB: 1 << 16})
+	s.Report(start, "a", present)
+	s.Submit(start, newJob("j", 1, queue(0, 2)))
+	offers, _ := s.Take()
+	g.Expect(offers).To(gomega.HaveLen(1))
+	over := start.Add(time.Second)
+	s.AgentLost(start, "a", over)
+	s.AgentUp("a", 1, "dc")
+	g.Expect(s.Report(start, "a", former)).To(gomega.BeFalse())
+	s.Advance(start)
+	s.AgentLost(start, "a", over)
+	s.AgentUp("a", 2, "dc")
+	g.Expect(s.Outstanding("a")).To(gomega.Equal([]uint64{offers[0].Offer.Number}), "the present process is asked")
+	s.Report(start, "a", present)
+	s.Advance(start)
+	again, _ := s.Take()
+	g.Expect(again).To(gomega.BeEmpty(), "the present process still has the task")
+}
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -95,6 +95,8 @@
 	SlownessPermille int64 `cbor:"7,keyasint"`
 	// Trial is set while the worker takes one task at a time, because it stalled or failed what it started.
 	Trial bool `cbor:"8,keyasint,omitempty"`
+	// Fence is the fencing token of the agent's process. It rises from each process of an agent to the next.
+	Fence uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // RunReport carries ends and the load from an agent to an entry.
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -103,6 +103,7 @@
 		}
 	}
 	load, info := c.table.Load(now), c.table.WorkerInfo()
+	load.Fence = c.worker.fence
 	changed := c.loadDirty || load.Open != c.open
 	for _, o := range c.owners {
 		o.flush(now, load, info, changed)
