--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -176,7 +176,7 @@
 	fields := log.Fields{
 		"job": j.Spec.ID, "queue": j.Queue.Name, "config": j.Catalog, "outcome": outcomeName(a.Outcome), "reason": a.Reason,
 		"took_ms": now.Sub(j.Arrived).Milliseconds(), "tasks": j.Spec.TaskCount(), "offers": j.Offered, "began": j.Began,
-		"ends": j.Ends, "failures": j.Failures, "agents": c.entry.serving.Load(), "waiting": c.scheduler.Waiting(),
+		"ends": j.Ends, "failures": j.Failures, "budget_ms": j.Deadline.Sub(j.Arrived).Milliseconds(), "agents": c.entry.serving.Load(), "waiting": c.scheduler.Waiting(),
 	}
 	if !j.FirstOffer.IsZero() {
 		fields["first_offer_ms"] = j.FirstOffer.Sub(j.Arrived).Milliseconds()
--- a/internal/workeragent/dial.go
+++ b/internal/workeragent/dial.go
@@ -16,9 +16,9 @@
 	// minRedial and maxRedial bound the pause between two attempts. An entry serves nothing before agents have reached it,
 	// so that the pause adds to each of its restarts.
 	minRedial = 20 * time.Millisecond
-	maxRedial = 100 * time.Millisecond
+	maxRedial = 50 * time.Millisecond
 	// lateRedial is the pause for an address that was not reached for earlyDialling.
-	lateRedial    = 400 * time.Millisecond
+	lateRedial    = 200 * time.Millisecond
 	earlyDialling = 5 * time.Second
 	// dialTimeout bounds connecting and the handshake.
 	dialTimeout = 500 * time.Millisecond
