Serve sooner after a loss of all processes while the store is away

One entry waited out a retry interval of up to 600 ms although agents had the configuration from the others (they relayed it after 300 ms), and until then connections were refused, so that callers came again 1.3 s later.

Change: an entry without a configuration asks an agent that shows one at once, one with an older configuration after 150 ms (this replaces the relay by every agent); agents show a new one at once; readers that know nothing try every 50 to 150 ms. An entry listens from its start and accepts once the configuration is in force; connections that waited 400 ms are reset.

--- a/internal/jobentry/agents.go
+++ b/internal/jobentry/agents.go
@@ -132,6 +132,38 @@
 	}
 }
 
+// Times of the transfer of the configuration from agents.
+const (
+	// pullDelay is the time that an entry which serves by an older configuration gives the store to show it the newer one.
+	pullDelay = 150 * time.Millisecond
+	// pullRetry is the time after which another agent is asked.
+	pullRetry = 100 * time.Millisecond
+)
+
+// pullCatalog asks one agent for a configuration that is newer than that of the entry: the store may turn the entry away, or
+// may have shown the configuration to another entry first. An entry without any asks at once.
+func (c *control) pullCatalog(now time.Time) {
+	own := catalog.VersionOf(c.entry.Catalog())
+	var newest *contact
+	for _, a := range c.agents {
+		if a.link != nil && a.version > own && (newest == nil || a.version > newest.version) {
+			newest = a
+		}
+	}
+	switch {
+	case newest == nil:
+		c.behindSince = time.Time{}
+		return
+	case c.behindSince.IsZero():
+		c.behindSince = now
+	}
+	if own > 0 && now.Sub(c.behindSince) < pullDelay || now.Sub(c.pulledAt) < pullRetry {
+		return
+	}
+	c.pulledAt = now
+	c.send(newest, &wire.CatalogPull{})
+}
+
 func (c *control) takePushed(a *contact, m *wire.CatalogPush) {
 	if m.Version <= catalog.VersionOf(c.entry.Catalog()) {
 		return
--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -57,6 +57,8 @@
 	// addresses are those of announced entries, seeds those of the settings, which also serve while the store is out.
 	addresses, seeds []string
 	body             []byte // the encoded catalog
+	// behindSince is when an agent first showed a newer catalog, pulledAt when one was last asked for it.
+	behindSince, pulledAt time.Time
 	// refusing is set at the end of a planned stop: jobs are refused as not run.
 	refusing bool
 }
@@ -115,6 +117,7 @@
 		(<-c.entry.events).apply(c, now)
 	}
 	c.checkSilence(now)
+	c.pullCatalog(now)
 	c.scheduler.Advance(now)
 	c.flush(now)
 	c.beats(now)
--- a/internal/jobentry/serve.go
+++ b/internal/jobentry/serve.go
@@ -26,12 +26,15 @@
 	// answerFlush is the time in which the answers to jobs that are given up leave the process.
 	answerFlush = 150 * time.Millisecond
 	idlePoll    = 20 * time.Millisecond
-	// configurationWait is the longest wait for the first configuration before connections are accepted. A refused
-	// connection lets the caller try elsewhere or again at once; after it, requests are refused with a reason.
+	// configurationWait is the longest wait for the first configuration before connections are accepted; after it, requests
+	// are refused with a reason.
 	configurationWait = 2 * time.Second
 	configurationPoll = 2 * time.Millisecond
-	callerIdle        = 60 * time.Second
-	callerHeaderIn    = 5 * time.Second
+	// connectionHold is the longest time that connections wait in the kernel for the first configuration. Those that waited
+	// for longer are reset, so that their callers try elsewhere or again: short jobs are late after it.
+	connectionHold = 400 * time.Millisecond
+	callerIdle     = 60 * time.Second
+	callerHeaderIn = 5 * time.Second
 )
 
 // Callers serves an HTTP interface for callers in front of an entry, and stops it without cutting a request.
@@ -49,13 +52,13 @@
 // Ready reports whether the balancer may send new connections.
 func (s *Callers) Ready() bool { return !s.stopping.Load() && s.Entry.Ready() }
 
-// Serve listens once a configuration is in force. It takes requests until ctx ends and then until all are answered and the
-// balancer has had the time to stop sending more. Jobs that are open shortly before the end by force are given up.
+// Serve accepts connections once a configuration is in force. It takes requests until ctx ends and then until all are
+// answered and the balancer has had the time to stop sending more. Jobs that are open shortly before the end by force are
+// given up.
 func (s *Callers) Serve(ctx context.Context, address string) error {
-	s.awaitConfiguration(ctx)
-	listener, err := net.Listen("tcp", address)
+	listener, err := s.listen(ctx, address)
 	if err != nil {
-		return eris.Wrapf(ErrListen, "%v", err)
+		return err
 	}
 	server := &http.Server{
 		Handler: s.counted(), ReadHeaderTimeout: callerHeaderIn, IdleTimeout: callerIdle,
@@ -73,15 +76,37 @@
 	return nil
 }
 
-func (s *Callers) awaitConfiguration(ctx context.Context) {
+// listen opens the listener and returns it when a configuration is in force. Connections that come before wait for it for
+// the hold time, and nothing of them is read.
+func (s *Callers) listen(ctx context.Context, address string) (net.Listener, error) {
 	began := time.Now()
-	for s.Entry.Catalog() == nil && ctx.Err() == nil {
+	for {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, eris.Wrapf(ErrListen, "%v", err)
+		}
+		if s.configured(ctx, time.Now().Add(connectionHold)) {
+			return listener, nil
+		}
 		if time.Since(began) > configurationWait {
 			s.Log.Warn("entry: serving without a configuration, all requests are refused")
-			return
+			return listener, nil
+		}
+		if err := listener.Close(); err != nil {
+			s.Log.WithField("error", err.Error()).Warn("entry: listener cannot be closed")
+		}
+	}
+}
+
+// configured waits for a configuration until a time. It returns whether requests can be taken, also at the end of ctx.
+func (s *Callers) configured(ctx context.Context, until time.Time) bool {
+	for s.Entry.Catalog() == nil && ctx.Err() == nil {
+		if time.Now().After(until) {
+			return false
 		}
 		time.Sleep(configurationPoll)
 	}
+	return true
 }
 
 func (s *Callers) counted() http.Handler {
--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -14,6 +14,8 @@
 const (
 	minRetry = 50 * time.Millisecond
 	maxRetry = 400 * time.Millisecond
+	// maxFirstRetry is the longest time between attempts while no keys are known: the process cannot work without them.
+	maxFirstRetry = 100 * time.Millisecond
 )
 
 // FollowOptions configures Follow.
@@ -126,6 +128,9 @@
 	}
 	pause(ctx, f.retry/2+rand.N(f.retry))
 	f.retry = min(2*f.retry, maxRetry)
+	if f.items == nil {
+		f.retry = min(f.retry, maxFirstRetry)
+	}
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -40,6 +40,7 @@
 	TypeBeat           Type = 29
 	TypeCatalogPush    Type = 30
 	TypeEntryAddresses Type = 31
+	TypeCatalogPull    Type = 32
 )
 
 // MaxFrame is the largest frame in bytes that a process sends or accepts.
@@ -202,6 +203,8 @@
 		return new(CatalogPush)
 	case TypeEntryAddresses:
 		return new(EntryAddresses)
+	case TypeCatalogPull:
+		return new(CatalogPull)
 	default:
 		return nil
 	}
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -122,6 +122,9 @@
 	LoadMillis uint32 `cbor:"4,keyasint,omitempty"`
 }
 
+// CatalogPull asks an agent whose Beat shows a newer configuration for it.
+type CatalogPull struct{}
+
 // CatalogPush carries the configuration to a process that has an older version.
 type CatalogPush struct {
 	Version uint64 `cbor:"1,keyasint"`
@@ -142,6 +145,9 @@
 // Type implements Message.
 func (*Beat) Type() Type { return TypeBeat }
 
+// Type implements Message.
+func (*CatalogPull) Type() Type { return TypeCatalogPull }
+
 // Type implements Message.
 func (*CatalogPush) Type() Type { return TypeCatalogPush }
 
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -19,9 +19,6 @@
 	tickInterval = 20 * time.Millisecond
 	// minLoadInterval is the least time between two load reports without ends to an entry with few agents.
 	minLoadInterval = 20 * time.Millisecond
-	// relayDelay is the time after which a newer catalog goes to an entry that shows an older version; by then the entry
-	// has usually read it from the store itself.
-	relayDelay = 300 * time.Millisecond
 )
 
 // control owns the control state of an agent.
@@ -34,7 +31,6 @@
 	dials  *dialSet
 
 	catalog   *catalog.Catalog
-	catalogAt time.Time
 	loadDirty bool
 	open      bool // whether the last load that was sent took tasks
 	drained   chan<- struct{}
@@ -189,22 +185,20 @@
 		o.send(&wire.Beat{
 			SentMicros: clock.Micros(now), HeardMicros: o.heardMicros, CatalogVersion: catalog.VersionOf(c.catalog),
 		})
-		if o.version < catalog.VersionOf(c.catalog) && now.Sub(c.catalogAt) >= relayDelay && now.Sub(o.relayed) >= relayDelay {
-			o.relayed = now
-			c.relay(o)
-		}
 	}
 }
 
-// relay sends the catalog to an entry that has an older one, for example because the store turns it away.
+// relay sends the catalog to an entry that asks for it, for example because the store turns the entry away.
 func (c *control) relay(o *owner) {
+	if c.catalog == nil {
+		return
+	}
 	body, err := catalog.Encode(c.catalog)
 	if err != nil {
 		c.log.WithError(err).Error("agent: catalog cannot be encoded")
 		return
 	}
-	c.log.WithFields(log.Fields{"entry": o.id, "version": c.catalog.Version, "entry_version": o.version}).
-		Info("agent: catalog relayed to an entry with an older one")
+	c.log.WithFields(log.Fields{"entry": o.id, "version": c.catalog.Version}).Info("agent: catalog relayed to an entry with an older one")
 	o.send(&wire.CatalogPush{Version: c.catalog.Version, Body: body})
 }
 
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -32,8 +32,6 @@
 	hasFastest bool
 	// highest is the highest offer number that was received.
 	highest  uint64
-	version  uint64 // of the entry's catalog
-	relayed  time.Time
 	sentAt   time.Time // when the last message with a time was sent
 	loadAt   time.Time
 	loadOwed bool
@@ -166,10 +164,11 @@
 			return
 		}
 		o.hear(m.SentMicros, m.HeardMicros)
-		o.version = m.CatalogVersion
 		o.loadInterval = max(minLoadInterval, time.Duration(m.LoadMillis)*time.Millisecond)
 	case *wire.CatalogPush:
-		c.takeCatalog(now, o, m)
+		c.takeCatalog(o, m)
+	case *wire.CatalogPull:
+		c.relay(o)
 	case *wire.EntryAddresses:
 		c.dials.add(m.Addresses)
 	}
@@ -218,8 +217,8 @@
 	return wire.RunEnd{Number: number, Outcome: wire.RunStopped, Reason: "the offer is not known to the agent"}
 }
 
-func (c *control) takeCatalog(now time.Time, o *owner, m *wire.CatalogPush) {
-	o.version = max(o.version, m.Version)
+// takeCatalog takes a newer catalog and tells all entries at once that it can be asked for.
+func (c *control) takeCatalog(o *owner, m *wire.CatalogPush) {
 	if m.Version <= catalog.VersionOf(c.catalog) {
 		return
 	}
@@ -228,6 +227,9 @@
 		c.log.WithError(err).Error("agent: catalog cannot be decoded")
 		return
 	}
-	c.catalog, c.catalogAt = decoded, now
+	c.catalog = decoded
+	for _, other := range c.owners {
+		other.sentAt = time.Time{}
+	}
 	c.log.WithFields(log.Fields{"entry": o.id, "version": decoded.Version}).Info("agent: catalog received")
 }
