Spread over equal workers, and give back tasks that a full worker cannot begin soon

Cause: entries with the same view all chose the same worker.

Ruled out: room (half of the capacity is in use), the entries (first offer after 0 ms).

Change: workers whose expected times differ by less than 30% count as equal and one is taken at random. An agent gives back a task at once that it would begin later than in 40 ms, with its present load.

--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -251,6 +251,28 @@
 	}
 	t.queue.push(r)
 	t.startWaiting(now)
+	if limit := time.Duration(o.WaitMillis) * time.Millisecond; r.state == waiting && limit > 0 && t.expectedWait(now, r) > limit {
+		t.queue.remove(r)
+		t.finish(now, r, wire.RunNotStarted, "the worker has no room soon")
+	}
+}
+
+// expectedWait estimates the time until a waiting task begins: until the running ones leave room, and for those before it.
+func (t *Table) expectedWait(now time.Time, r *run) time.Duration {
+	capacity := t.info.Capacity.MilliCPU
+	if capacity <= 0 {
+		return 0
+	}
+	missing := r.needs.MilliCPU - max(capacity-t.used.MilliCPU, 0)
+	ahead := int64(0)
+	for _, other := range t.queue.runs {
+		if other == r {
+			break
+		}
+		ahead += other.needs.MilliCPU * max(other.offer.EstimateMillis, 1)
+	}
+	untilRoom := time.Duration(2 * float64(max(missing, 0)) / float64(capacity) * float64(t.remaining(now)))
+	return untilRoom + time.Duration(float64(ahead)/float64(capacity)*t.ratio())*time.Millisecond
 }
 
 func (t *Table) refusal(now time.Time, r *run) string {
--- a/internal/runs/table_test.go
+++ b/internal/runs/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -131,6 +132,7 @@
 	w.table.Offer(w.now, 1, wire.Offer{
 		Number: w.number, Job: task.Job, Index: task.Index, Attempt: 1, Service: "bench", MilliCPU: w.needs[task],
 		SlackMillis: 50, BudgetMillis: 100_000, EstimateMillis: 50, Priority: rapid.IntRange(0, 2).Draw(w.t, "priority"),
+		WaitMillis: rapid.SampledFrom([]int64{0, 40}).Draw(w.t, "wait"),
 	})
 }
 
@@ -367,3 +369,24 @@
 	g.Expect(messages[0].End.Outcome).To(gomega.Equal(wire.RunNotStarted), "the task that waits goes back")
 	g.Expect(table.Load(later).Open).To(gomega.BeFalse())
 }
+
+// Guards against tasks that queue at a full worker while others are free: entries whose view is old send them there.
+func TestTaskThatWouldWaitTooLongGoesBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, m, now := newTable(g, 10)
+	table.Observe(now, now, m.look(0))
+	offer := wire.Offer{Service: "bench", MilliCPU: 8, EstimateMillis: 200, BudgetMillis: 10_000, WaitMillis: 40}
+	for number := range uint64(2) {
+		offer.Number, offer.Job = number+1, fmt.Sprint(number)
+		table.Offer(now, 1, offer)
+	}
+	orders, messages := table.Take()
+	g.Expect(orders).To(gomega.HaveLen(1))
+	g.Expect(messages).To(gomega.HaveLen(2), "the first has begun")
+	g.Expect(messages[1].End.Number).To(gomega.BeEquivalentTo(2))
+	g.Expect(messages[1].End.Outcome).To(gomega.Equal(wire.RunNotStarted))
+	offer.Number, offer.Job, offer.WaitMillis = 3, "patient", 0
+	table.Offer(now, 1, offer)
+	_, messages = table.Take()
+	g.Expect(messages).To(gomega.BeEmpty(), "a task without a limit waits")
+}
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -105,12 +105,13 @@
 		wait := a.wait(now, t)
 		onTime := !now.Add(wait + run).After(due)
 		patient = patient || !now.Add(run).After(due)
+		total := time.Duration(float64(wait+run) * (1 + s.config.Spread*s.config.Random.Float64()))
 		switch {
 		case wait > s.config.AgentQueue:
-		case onTime && (best == nil || wait+run < cost):
-			best, cost = a, wait+run
-		case !onTime && (bestLate == nil || wait+run < costLate):
-			bestLate, costLate = a, wait+run
+		case onTime && (best == nil || total < cost):
+			best, cost = a, total
+		case !onTime && (bestLate == nil || total < costLate):
+			bestLate, costLate = a, total
 		}
 	}
 	if best != nil || patient {
@@ -201,5 +202,6 @@
 		Accelerators: t.step.Needs.Accelerators, EstimateMillis: t.step.Estimate.Milliseconds(),
 		Priority: j.Queue.Priority, SlackMillis: t.latest.Sub(now).Milliseconds(),
 		BudgetMillis: j.Deadline.Sub(now).Milliseconds(), LateMillis: j.lateWorth().Milliseconds(),
+		WaitMillis: s.config.MaxWait.Milliseconds(),
 	}})
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 package scheduler
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
@@ -25,6 +26,14 @@
 	// AgentQueue is the longest time that a task may be expected to wait at an agent. Tasks that would wait longer stay
 	// at the entry, where they can still go to any agent.
 	AgentQueue time.Duration
+	// MaxWait is the longest time that a task may be expected to wait when it arrives at an agent, whose worker others may have
+	// filled meanwhile. An agent gives back a task that would wait longer.
+	MaxWait time.Duration
+	// Spread is the share by which the expected times of workers may differ that count as equal. Among these one is taken at
+	// random, so that entries with the same view do not all choose the same worker.
+	Spread float64
+	// Random is the source of these choices.
+	Random *rand.Rand
 	// ContactWait is how long a job waits at an entry that has no contact with any agent of the service.
 	ContactWait time.Duration
 }
@@ -35,6 +44,9 @@
 		DataCentre:  dataCentre,
 		RemoteDelay: 2 * time.Millisecond,  // a round trip between data centres
 		AgentQueue:  20 * time.Millisecond, // hides the round trips in which an agent gets the next task
+		MaxWait:     40 * time.Millisecond, // twice the wait that the entry expects at most
+		Spread:      0.3,                   // estimates of a worker's speed are off by about as much
+		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		// Agents reach an entry that has started within 100 ms; one that is cut off has lost them 400 ms after the cut.
 		ContactWait: 250 * time.Millisecond,
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -46,6 +46,23 @@
 	return s
 }
 
+// Guards against entries that all choose the same worker because they have the same view of equal ones.
+func TestEntriesWithTheSameViewSpread(t *testing.T) {
+	g := gomega.NewWithT(t)
+	chosen := make(map[scheduler.AgentID]int)
+	const entries = 40
+	for range entries {
+		s := withAgents(16, 16, 16, 16)
+		s.Submit(start, newJob("j", 1, queue(0, 2)))
+		offers, _ := s.Take()
+		g.Expect(offers).To(gomega.HaveLen(1))
+		chosen[offers[0].Agent]++
+	}
+	for id, n := range chosen {
+		g.Expect(n).To(gomega.BeNumerically("<=", entries/2), string(id))
+	}
+}
+
 // Guards against a crash when the last task of a job fails for the last time.
 func TestJobFailsAfterItsAttempts(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -40,6 +40,8 @@
 	BudgetMillis int64 `cbor:"14,keyasint"`
 	// LateMillis is the time after the slack in which a late answer still has a worth.
 	LateMillis int64 `cbor:"15,keyasint,omitempty"`
+	// WaitMillis is the longest expected wait at the agent. It gives back a task that would wait longer; 0 means any wait.
+	WaitMillis int64 `cbor:"16,keyasint,omitempty"`
 }
 
 // Offers carries new offers and withdrawals of earlier ones from an entry to an agent.
