Count jobs in flight at the stand-in, where the bound holds at all times

TestJobsInFlightAreBounded expected exactly 60 jobs in all. On a busy host arrivals are late, and those that come after the first answers (2 s) take the room that these have made: 70 and 63 jobs in 2 of 16 runs beside eight busy processes.

--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -25,6 +25,8 @@
 	mu      sync.Mutex
 	seen    map[string]int
 	cancels int
+	// open is the number of jobs without an answer, most the largest number so far.
+	open, most int
 	answer  func(job *api.JobRequest, copyOf int) (*api.Answer, int)
 	delay   time.Duration
 	// cancelled is called with the key of each cancellation, and await before each answer; nil means no call.
@@ -50,7 +52,14 @@
 	f.mu.Lock()
 	copyOf := f.seen[r.Header.Get(api.HeaderKey)]
 	f.seen[r.Header.Get(api.HeaderKey)]++
+	f.open++
+	f.most = max(f.most, f.open)
 	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.open--
+	}()
 	time.Sleep(f.delay)
 	if f.await != nil {
 		f.await(r.Header.Get(api.HeaderKey))
@@ -398,7 +407,8 @@
 		c.MaxInFlight = 60
 		c.DemandScale = 4
 	})
-	g.Expect(result.Jobs).To(gomega.BeEquivalentTo(60))
+	// Counted where the jobs are: on a busy host arrivals are late, and some come when the first answers have made room.
+	g.Expect(entry.most).To(gomega.Equal(60))
 	g.Expect(result.NotSent).To(gomega.BeNumerically(">", 100))
 }
 
