Take no job whose caller has closed its connection

Cause: a frozen entry finds the requests of its callers when it goes on, also of those that have given up and submitted their job elsewhere. The HTTP server notices the end of a connection only after the handler has begun, so that tasks of such a job started and were stopped a moment later, possibly while they ran for another entry.

--- a/internal/jobentry/serve.go
+++ b/internal/jobentry/serve.go
@@ -62,7 +62,7 @@
 	}
 	server := &http.Server{
 		Handler: s.counted(), ReadHeaderTimeout: callerHeaderIn, IdleTimeout: callerIdle,
-		ErrorLog: logging.Standard(s.Log, "entry"),
+		ErrorLog: logging.Standard(s.Log, "entry"), ConnContext: withConn,
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -27,8 +27,8 @@
 	cancels int
 	// open is the number of jobs without an answer, most the largest number so far.
 	open, most int
-	answer  func(job *api.JobRequest, copyOf int) (*api.Answer, int)
-	delay   time.Duration
+	answer     func(job *api.JobRequest, copyOf int) (*api.Answer, int)
+	delay      time.Duration
 	// cancelled is called with the key of each cancellation, and await before each answer; nil means no call.
 	cancelled, await func(key string)
 }
