--- a/internal/standin/kvstore/kvstore.go
+++ b/internal/standin/kvstore/kvstore.go
@@ -51,6 +51,7 @@
 	oldest   uint64 // revisions up to this one are not in the history
 	leases   map[int64]*lease
 	down     bool
+	rewrite  func(key string, value []byte) []byte
 }
 
 // Start listens on address.
@@ -90,6 +91,13 @@
 	s.changed.Broadcast()
 }
 
+// SetRewrite changes the values that processes write, for example addresses to those of a proxy in front of them.
+func (s *Store) SetRewrite(rewrite func(key string, value []byte) []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rewrite = rewrite
+}
+
 // Compact drops the history.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -269,6 +277,9 @@
 		}
 	}
 	for _, p := range txn.Puts {
+		if s.rewrite != nil {
+			p.Value = s.rewrite(p.Key, p.Value)
+		}
 		s.write(p.Key, p.Value, p.Lease)
 	}
 	for _, key := range txn.Remove {
