Take no connection at an entry whose processor does not keep up, and tell the balancer

Change: the lateness of the control loop decides. Above 40 ms in the mean of 100 ms the entry accepts nothing, so that connections wait in the kernel where they cost nothing, and it is not ready until it has kept up for 2 s, so that the balancer uses other entries. Load reports to an entry with many agents take the place of beats instead of coming beside them.

Measured: TestEntryThatDoesNotKeepUp.

--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -94,11 +94,26 @@
 		case e := <-c.entry.events:
 			c.dispatch(e)
 		case <-ticker.C:
+			c.noteLag(c.entry.options.Clock.Now())
 			c.dispatch(nil)
 		}
 	}
 }
 
+// noteLag takes the time of a tick and tells when the entry ceases to keep up with its work and when it does again.
+func (c *control) noteLag(now time.Time) {
+	o := &c.entry.overload
+	if !o.tick(now) {
+		return
+	}
+	fields := log.Fields{"lag_ms": o.mean.Milliseconds(), "open": c.scheduler.Open(), "waiting": c.scheduler.Waiting()}
+	if o.busy.Load() {
+		c.log.WithFields(fields).Warn("entry: processor does not keep up, not ready for new connections")
+	} else {
+		c.log.WithFields(fields).Info("entry: processor keeps up again")
+	}
+}
+
 func (c *control) closeLinks() {
 	for _, a := range c.agents {
 		if a.link != nil {
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -62,6 +62,7 @@
 	catalog     atomic.Pointer[catalog.Catalog]
 	serving     atomic.Int64 // agents whose workers take tasks
 	control     *control
+	overload    overload
 }
 
 // New returns an entry that listens for links already. It returns ErrOptions or ErrListen.
@@ -165,8 +166,11 @@
 // SetSeeds takes link addresses of entries from the settings. Agents learn those that they do not know.
 func (e *Entry) SetSeeds(addresses []string) { go e.post(seedsRead{addresses: addresses}) }
 
-// Ready reports whether the entry can serve jobs: it has a configuration, and the worker of some agent takes tasks.
-func (e *Entry) Ready() bool { return e.Catalog() != nil && e.serving.Load() > 0 }
+// Ready reports whether the entry can serve more jobs: it has a configuration, the worker of some agent takes tasks, and its
+// own processor keeps up.
+func (e *Entry) Ready() bool {
+	return e.Catalog() != nil && e.serving.Load() > 0 && !e.overload.busy.Load()
+}
 
 // Submission is a job with what belongs to the request that brought it.
 type Submission struct {
--- /dev/null
+++ b/internal/jobentry/overload_test.go
@@ -0,0 +1,33 @@
+package jobentry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// Guards against an entry that takes more than its processor serves, loses its links for lack of time and then all its jobs.
+func TestEntryThatDoesNotKeepUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var o overload
+	now := time.Unix(1000, 0)
+	ticks := func(n int, interval time.Duration) {
+		for range n {
+			now = now.Add(interval)
+			o.tick(now)
+		}
+	}
+	ticks(50, tickInterval)
+	g.Expect(o.closed.Load()).To(gomega.BeFalse())
+	ticks(1, 5*time.Second)
+	g.Expect(o.closed.Load()).To(gomega.BeFalse(), "one pause of any length is no overload")
+	ticks(10, 120*time.Millisecond)
+	g.Expect(o.closed.Load()).To(gomega.BeTrue())
+	g.Expect(o.busy.Load()).To(gomega.BeTrue())
+	ticks(25, tickInterval)
+	g.Expect(o.closed.Load()).To(gomega.BeFalse(), "it serves what waits as soon as it keeps up")
+	g.Expect(o.busy.Load()).To(gomega.BeTrue(), "it asks for more only some time later")
+	ticks(125, tickInterval)
+	g.Expect(o.busy.Load()).To(gomega.BeFalse())
+}
--- a/internal/jobentry/serve.go
+++ b/internal/jobentry/serve.go
@@ -65,7 +65,7 @@
 		ErrorLog: logging.Standard(s.Log, "entry"), ConnContext: withConn,
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(gate{listener, s.Entry.overload.closed.Load}) }()
 	defer server.Close()
 	select {
 	case err := <-failed:
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -188,6 +188,15 @@
 	}
 }
 
+// loadInterval returns the interval of load reports to an entry that asks for one. From the interval of beats on it is a
+// multiple of that, so that a report takes the place of a beat.
+func loadInterval(asked time.Duration) time.Duration {
+	if asked <= runs.BeatInterval {
+		return max(asked, minLoadInterval)
+	}
+	return asked / runs.BeatInterval * runs.BeatInterval
+}
+
 // relay sends the catalog to an entry that asks for it, for example because the store turns the entry away.
 func (c *control) relay(o *owner) {
 	if c.catalog == nil {
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -164,7 +164,7 @@
 			return
 		}
 		o.hear(m.SentMicros, m.HeardMicros)
-		o.loadInterval = max(minLoadInterval, time.Duration(m.LoadMillis)*time.Millisecond)
+		o.loadInterval = loadInterval(time.Duration(m.LoadMillis) * time.Millisecond)
 	case *wire.CatalogPush:
 		c.takeCatalog(o, m)
 	case *wire.CatalogPull:
