--- a/internal/command/service.go
+++ b/internal/command/service.go
@@ -8,7 +8,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // Exit codes of the group service, beside ExitOK, ExitFailure and ExitUsage. Scripts depend on them.
@@ -111,7 +111,7 @@
 		return failure{ExitConflict, "conflict"}
 	case errors.Is(err, document.ErrInvalid):
 		return failure{ExitInvalid, "invalid"}
-	case errors.Is(err, document.ErrUnreachable), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, document.ErrUnreachable), errors.Is(err, store.ErrUnavailable):
 		return failure{ExitUnreachable, "unreachable"}
 	case errors.Is(err, document.ErrNotFound):
 		return failure{ExitNotFound, "not_found"}
--- a/internal/command/service_test.go
+++ b/internal/command/service_test.go
@@ -14,7 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/consul"
 )
 
 const testDocument = "service: bench\nteam: wax\nkinds: [{name: tune}]\n"
@@ -22,14 +22,14 @@
 // shell runs subcommands against a stand-in store of its own.
 type shell struct {
 	*gomega.WithT
-	server   *standin.Server
+	server   *consul.Server
 	dir      string
 	out, err bytes.Buffer
 }
 
 func newShell(t *testing.T) *shell {
 	g := gomega.NewWithT(t)
-	server, err := standin.Start("127.0.0.1:0", standin.Options{})
+	server, err := consul.Start("127.0.0.1:0", consul.Options{})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(server.Close)
 	return &shell{WithT: g, server: server, dir: t.TempDir()}
@@ -75,16 +75,16 @@
 	s.Expect(s.run("get", "none", "--json")).To(gomega.Equal(6))
 	s.Expect(s.errorCode()).To(gomega.Equal("not_found"))
 
-	s.Expect(s.server.SetFaults(standin.Faults{DropWrites: -1})).To(gomega.Succeed())
+	s.Expect(s.server.SetFaults(consul.Faults{DropWrites: -1})).To(gomega.Succeed())
 	s.Expect(s.run("put", valid, "--expect-revision", "1", "--json")).To(gomega.Equal(7))
 	s.Expect(s.errorCode()).To(gomega.Equal("unclear"))
-	s.Expect(s.server.SetFaults(standin.Faults{Down: standin.DownHang})).To(gomega.Succeed())
+	s.Expect(s.server.SetFaults(consul.Faults{Down: consul.DownHang})).To(gomega.Succeed())
 	for _, args := range [][]string{{"put", valid, "--expect-revision", "1"}, {"get", "bench"}, {"list"}, {"history", "bench"}, {"delete", "bench", "--expect-revision", "1"}} {
 		s.Expect(s.run(append(args, "--json")...)).To(gomega.Equal(5), strings.Join(args, " "))
 		s.Expect(s.errorCode()).To(gomega.Equal("unreachable"))
 	}
 	s.Expect(classify(eris.Wrap(document.ErrNotIndexed, "bench"))).To(gomega.Equal(failure{8, "not_indexed"}))
-	s.Expect(s.server.SetFaults(standin.Faults{})).To(gomega.Succeed())
+	s.Expect(s.server.SetFaults(consul.Faults{})).To(gomega.Succeed())
 	s.Expect(s.run("put", s.file(testDocument+"home_region: north\n"), "--expect-revision", "1", "--json")).To(gomega.Equal(4))
 	s.Expect(s.out.String()).To(gomega.ContainSubstring(`"problems":[{"line":0,"column":0,"field":"home_region"`))
 	invalid := s.file("service: bench\nslots: x\n")
--- a/internal/command/service_watch.go
+++ b/internal/command/service_watch.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 const (
@@ -58,7 +58,7 @@
 type serviceWatch struct {
 	*serviceCommand
 	out      *output
-	store    platform.Store
+	store    store.Store
 	registry *document.Registry
 	loaded   bool
 	// at is the position of the last snapshot of the index.
@@ -95,18 +95,18 @@
 func (w *serviceWatch) read(ctx context.Context, services []string) error {
 	for _, service := range services {
 		entry, err := w.store.Get(ctx, document.Key(service))
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, store.ErrNotFound) {
 			continue
 		}
 		if err != nil {
 			return err
 		}
-		w.printChanges(w.out, w.registry, []platform.Entry{entry})
+		w.printChanges(w.out, w.registry, []store.Entry{entry})
 	}
 	return nil
 }
 
-func (s *serviceCommand) printChanges(out *output, registry *document.Registry, entries []platform.Entry) {
+func (s *serviceCommand) printChanges(out *output, registry *document.Registry, entries []store.Entry) {
 	changes, corrupt := registry.ApplySnapshot(entries)
 	for _, c := range corrupt {
 		fmt.Fprintf(out.std.err, "%s: %s\n", programName, eris.ToString(c, false))
--- a/internal/command/standin_platform.go
+++ b/internal/command/standin_platform.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/settings"
-	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/consul"
 )
 
 // Bounds of the settings of the stand-in store.
@@ -18,7 +18,7 @@
 
 type standInPlatform struct {
 	listen  string
-	options standin.Options
+	options consul.Options
 	log     logSettings
 }
 
@@ -33,9 +33,9 @@
 func (s *standInPlatform) register(set *settings.Set) {
 	set.String(&s.listen, "listen", "127.0.0.1:8500", "address and port of the HTTP interface", true)
 	set.String(&s.options.FaultToken, "fault-token", "", "bearer token of the fault endpoint; empty for none", false)
-	set.Int(&s.options.MaxValue, "max-value-bytes", standin.DefaultMaxValue, minStandInValue, maxStandInValue,
+	set.Int(&s.options.MaxValue, "max-value-bytes", consul.DefaultMaxValue, minStandInValue, maxStandInValue,
 		"largest value in bytes")
-	set.Duration(&s.options.MinTTL, "min-session-ttl", standin.DefaultMinTTL, minStandInTTL, maxStandInTTL,
+	set.Duration(&s.options.MinTTL, "min-session-ttl", consul.DefaultMinTTL, minStandInTTL, maxStandInTTL,
 		"shortest TTL of a session")
 	s.log.register(set)
 }
@@ -43,7 +43,7 @@
 // run serves until the process is told to stop.
 func (s *standInPlatform) run(ctx context.Context, std streams) int {
 	logger := s.log.logger(std.err)
-	server, err := standin.Start(s.listen, s.options)
+	server, err := consul.Start(s.listen, s.options)
 	if err != nil {
 		return reportError(std, err, ExitFailure)
 	}
--- a/internal/command/store_settings.go
+++ b/internal/command/store_settings.go
@@ -6,8 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
 	"github.com/coltsfootspur/coltsfootspur/internal/settings"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 const defaultStore = "http://127.0.0.1:8500"
@@ -19,12 +19,12 @@
 )
 
 // storeSettings are the settings of the platform's key-value service.
-type storeSettings struct{ options platform.Options }
+type storeSettings struct{ options store.Options }
 
 func (s *storeSettings) register(set *settings.Set) {
 	set.Custom("store", defaultStore, "base URL of the platform's key-value service", "http or https URL with a host", s.parseAddress)
 	set.String(&s.options.Token, "store-token", "", "access token of the key-value service; empty for none", false)
-	set.Duration(&s.options.CallTimeout, "store-timeout", platform.DefaultCallTimeout, minStoreTimeout, maxStoreTimeout,
+	set.Duration(&s.options.CallTimeout, "store-timeout", store.DefaultCallTimeout, minStoreTimeout, maxStoreTimeout,
 		"longest wait for one answer of the key-value service")
 }
 
@@ -37,5 +37,5 @@
 	return nil
 }
 
-// open returns the adapter. It makes no call. The error is platform.ErrRejected for an invalid address.
-func (s *storeSettings) open() (*platform.Consul, error) { return platform.NewConsul(s.options) }
+// open returns the adapter. It makes no call. The error is store.ErrRejected for an invalid address.
+func (s *storeSettings) open() (*store.Consul, error) { return store.NewConsul(s.options) }
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -21,9 +21,9 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/entry"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/loadgen"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
-	standinplatform "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/consul"
 	"github.com/coltsfootspur/coltsfootspur/internal/standin/upstream"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // OperatorToken is the token of the operator endpoints. The deployment listens on loopback only.
@@ -55,7 +55,7 @@
 	// LinkToken differs between two deployments, so that a process that dials an address which another deployment got
 	// meanwhile is refused.
 	LinkToken string
-	Store     *standinplatform.Server
+	Store     *consul.Server
 	Entries   []*Entry
 	Upstreams []*upstream.Server
 	Agents    []*Agent
@@ -105,7 +105,7 @@
 
 func (c *Cluster) start(ctx context.Context) error {
 	var err error
-	if c.Store, err = standinplatform.Start("127.0.0.1:0", standinplatform.Options{}); err != nil {
+	if c.Store, err = consul.Start("127.0.0.1:0", consul.Options{}); err != nil {
 		return err
 	}
 	if err := c.putDocuments(ctx); err != nil {
@@ -124,8 +124,8 @@
 	return c.waitConnected(ctx)
 }
 
-func (c *Cluster) store() (platform.Store, error) {
-	return platform.NewConsul(platform.Options{Address: c.Store.URL()})
+func (c *Cluster) store() (store.Store, error) {
+	return store.NewConsul(store.Options{Address: c.Store.URL()})
 }
 
 func (c *Cluster) putDocuments(ctx context.Context) error {
--- a/internal/devcluster/recovery_test.go
+++ b/internal/devcluster/recovery_test.go
@@ -12,7 +12,7 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/deployment"
 	"github.com/coltsfootspur/coltsfootspur/internal/devcluster"
 	"github.com/coltsfootspur/coltsfootspur/internal/entry"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -31,7 +31,7 @@
 		Deployment: d,
 		EntryOptions: func(o *entry.Options) {
 			once.Do(func() {
-				err := o.Store.CompareAndSwap(context.Background(), platform.WatchPrefix+"entries", list, 0)
+				err := o.Store.CompareAndSwap(context.Background(), store.WatchPrefix+"entries", list, 0)
 				g.Expect(err).NotTo(gomega.HaveOccurred())
 			})
 		},
--- a/internal/document/editor.go
+++ b/internal/document/editor.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // maxAuthor is the longest author in bytes.
@@ -18,13 +18,13 @@
 
 // Editor reads and changes documents in the store. It can be used by several goroutines.
 type Editor struct {
-	store platform.Store
+	store store.Store
 	clock clock.Clock
 	newID func() string
 }
 
 // NewEditor returns an editor that names its edits with random ids.
-func NewEditor(store platform.Store, c clock.Clock) *Editor {
+func NewEditor(store store.Store, c clock.Clock) *Editor {
 	return &Editor{store: store, clock: c, newID: uuid.NewString}
 }
 
@@ -139,7 +139,7 @@
 		return Record{}, 0, &InvalidError{Problems: []Problem{{Field: "service", Message: shorten(service) + " is not allowed", Allowed: nameRule.text}}}
 	}
 	entry, err := e.store.Get(ctx, Key(service))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return Record{}, 0, nil
 	}
 	if err != nil {
--- a/internal/document/editor_test.go
+++ b/internal/document/editor_test.go
@@ -10,28 +10,28 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
-	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/consul"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
 type bench struct {
 	*gomega.WithT
-	server *standin.Server
-	store  *platform.Consul
+	server *consul.Server
+	store  *store.Consul
 	editor *document.Editor
 }
 
 func newBench(t *testing.T) *bench {
-	return newBenchWith(t, platform.DefaultCallTimeout)
+	return newBenchWith(t, store.DefaultCallTimeout)
 }
 
 func newBenchWith(t *testing.T, timeout time.Duration) *bench {
 	g := gomega.NewWithT(t)
-	server, err := standin.Start("127.0.0.1:0", standin.Options{})
+	server, err := consul.Start("127.0.0.1:0", consul.Options{})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(server.Close)
-	store, err := platform.NewConsul(platform.Options{Address: server.URL(), CallTimeout: timeout})
+	store, err := store.NewConsul(store.Options{Address: server.URL(), CallTimeout: timeout})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(store.Close)
 	return &bench{g, server, store, document.NewEditor(store, clock.System{})}
@@ -71,10 +71,10 @@
 // Guards against an accepted edit that is reported as failed, and one that is given up although it had no effect yet.
 func TestEditorFindsOutAboutLostAnswers(t *testing.T) {
 	b := newBench(t)
-	b.Expect(b.server.SetFaults(standin.Faults{LoseAnswers: 1})).To(gomega.Succeed())
+	b.Expect(b.server.SetFaults(consul.Faults{LoseAnswers: 1})).To(gomega.Succeed())
 	_, err := b.editor.Put(t.Context(), edit(0, "answer lost"))
 	b.Expect(err).NotTo(gomega.HaveOccurred())
-	b.Expect(b.server.SetFaults(standin.Faults{DropWrites: 2, LoseAnswers: 1})).To(gomega.Succeed())
+	b.Expect(b.server.SetFaults(consul.Faults{DropWrites: 2, LoseAnswers: 1})).To(gomega.Succeed())
 	_, err = b.editor.Put(t.Context(), edit(1, "dropped twice"))
 	b.Expect(err).NotTo(gomega.HaveOccurred())
 	record, err := b.editor.Get(t.Context(), "bench")
@@ -84,9 +84,9 @@
 
 // Guards against edits through a store that is down which end without a clear error.
 func TestEditorWithoutStore(t *testing.T) {
-	for _, down := range []string{standin.DownClose, standin.DownError, standin.DownHang} {
+	for _, down := range []string{consul.DownClose, consul.DownError, consul.DownHang} {
 		b := newBenchWith(t, 200*time.Millisecond)
-		b.Expect(b.server.SetFaults(standin.Faults{Down: down})).To(gomega.Succeed())
+		b.Expect(b.server.SetFaults(consul.Faults{Down: down})).To(gomega.Succeed())
 		_, err := b.editor.Put(t.Context(), edit(0, ""))
 		b.Expect(errors.Is(err, document.ErrUnreachable)).To(gomega.BeTrue())
 		_, _, err = b.editor.List(t.Context())
@@ -104,7 +104,7 @@
 	}
 	entry, err := b.store.Get(t.Context(), document.Key("bench"))
 	b.Expect(err).NotTo(gomega.HaveOccurred())
-	b.Expect(len(entry.Value)).To(gomega.BeNumerically("<=", platform.MaxValue))
+	b.Expect(len(entry.Value)).To(gomega.BeNumerically("<=", store.MaxValue))
 	record, err := document.DecodeRecord(entry.Value)
 	b.Expect(err).NotTo(gomega.HaveOccurred())
 	b.Expect(record.History).To(gomega.HaveLen(document.MaxHistory))
--- a/internal/document/errors.go
+++ b/internal/document/errors.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // Errors of Editor and of the conversions. ErrInvalid is in problem.go.
@@ -63,11 +63,11 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return eris.Wrapf(ErrNotFound, "%v", err)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return eris.Wrapf(ErrUnreachable, "%v", err)
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		return eris.Wrapf(ErrUnclear, "%v", err)
 	default:
 		return eris.Wrapf(ErrRefused, "%v", err)
--- a/internal/document/index.go
+++ b/internal/document/index.go
@@ -5,11 +5,11 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // IndexKey is the store key of the index.
-const IndexKey = platform.WatchPrefix + "index"
+const IndexKey = store.WatchPrefix + "index"
 
 // Position names one revision of a service. In JSON it is the array [revision, "edit id"], because every entry reads the
 // whole index at each edit and names of fields would add a third to it.
--- a/internal/document/index_test.go
+++ b/internal/document/index_test.go
@@ -13,14 +13,14 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
-	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/consul"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // index returns the index in the store; empty without one.
 func (b *bench) index() document.Index {
 	entry, err := b.store.Get(context.Background(), document.IndexKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return document.Index{}
 	}
 	b.Expect(err).NotTo(gomega.HaveOccurred())
@@ -30,11 +30,11 @@
 }
 
 // recordOnly is a store that loses sight of the index.
-type recordOnly struct{ platform.Store }
+type recordOnly struct{ store.Store }
 
-func (s recordOnly) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s recordOnly) Get(ctx context.Context, key string) (store.Entry, error) {
 	if key == document.IndexKey {
-		return platform.Entry{}, platform.ErrUnavailable
+		return store.Entry{}, store.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
@@ -66,7 +66,7 @@
 	const editors = 12
 	b := newBench(t)
 	b.Expect(b.store.CompareAndSwap(t.Context(), document.IndexKey, []byte("{"), 0)).To(gomega.Succeed())
-	b.Expect(b.server.SetFaults(standin.Faults{LoseAnswers: 3, DropWrites: 3})).To(gomega.Succeed())
+	b.Expect(b.server.SetFaults(consul.Faults{LoseAnswers: 3, DropWrites: 3})).To(gomega.Succeed())
 	results := make(chan error, editors)
 	for n := range editors {
 		service := fmt.Sprintf("service-%d", n)
--- a/internal/document/race_store_test.go
+++ b/internal/document/race_store_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // fate is what happens to one call of an editor.
@@ -36,17 +36,17 @@
 }
 
 type answer struct {
-	entry platform.Entry
+	entry store.Entry
 	err   error
 }
 
 // raceStore holds one record and the index. Each call waits until the test decides its fate, so that the test chooses the interleaving.
 type raceStore struct {
-	platform.Store
+	store.Store
 	calls chan *call
 }
 
-func (s raceStore) Get(_ context.Context, key string) (platform.Entry, error) {
+func (s raceStore) Get(_ context.Context, key string) (store.Entry, error) {
 	return s.wait(&call{key: key})
 }
 
@@ -55,7 +55,7 @@
 	return err
 }
 
-func (s raceStore) wait(c *call) (platform.Entry, error) {
+func (s raceStore) wait(c *call) (store.Entry, error) {
 	c.reply = make(chan answer, 1)
 	s.calls <- c
 	a := <-c.reply
@@ -64,11 +64,11 @@
 
 // raceData is the content of a raceStore with the log of the writes of the record.
 type raceData struct {
-	keys map[string]platform.Entry
+	keys map[string]store.Entry
 	log  []document.Record
 }
 
-func newRaceData() *raceData { return &raceData{keys: map[string]platform.Entry{}} }
+func newRaceData() *raceData { return &raceData{keys: map[string]store.Entry{}} }
 
 func (d *raceData) swap(c *call) bool {
 	if d.keys[c.key].Version != c.version {
@@ -83,7 +83,7 @@
 	} else if err := d.checkIndex(c.value); err != nil {
 		panic(err)
 	}
-	d.keys[c.key] = platform.Entry{Key: c.key, Value: c.value, Version: c.version + 1}
+	d.keys[c.key] = store.Entry{Key: c.key, Value: c.value, Version: c.version + 1}
 	return true
 }
 
@@ -117,7 +117,7 @@
 
 func (d *raceData) read(key string) answer {
 	if d.keys[key].Version == 0 {
-		return answer{err: platform.ErrNotFound}
+		return answer{err: store.ErrNotFound}
 	}
 	return answer{entry: d.keys[key]}
 }
@@ -126,13 +126,13 @@
 func (d *raceData) decide(c *call, f fate) (late *call) {
 	switch {
 	case f == fateRefused || !c.write && f != fateAnswered:
-		c.reply <- answer{err: platform.ErrUnavailable}
+		c.reply <- answer{err: store.ErrUnavailable}
 	case !c.write:
 		c.reply <- d.read(c.key)
 	case f == fateAnswered:
 		a := answer{}
 		if !d.swap(c) {
-			a.err = platform.ErrConflict
+			a.err = store.ErrConflict
 		}
 		c.reply <- a
 	default:
@@ -143,7 +143,7 @@
 			late = c
 		case fateDropped:
 		}
-		c.reply <- answer{err: platform.ErrOutcomeUnknown}
+		c.reply <- answer{err: store.ErrOutcomeUnknown}
 	}
 	return late
 }
--- a/internal/document/raise.go
+++ b/internal/document/raise.go
@@ -9,16 +9,16 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // RaiseIndex raises the index in the store until it shows at least the wanted positions, and lowers none. It tries again
 // after conflicts, lost answers and failed calls until ctx ends. Errors: ErrUnreachable, ErrConflict and ErrUnclear for
 // the last try, and ErrRefused.
-func RaiseIndex(ctx context.Context, store platform.Store, c clock.Clock, wanted Index) error {
+func RaiseIndex(ctx context.Context, s store.Store, c clock.Clock, wanted Index) error {
 	wait := firstWait
 	for {
-		err := raiseOnce(ctx, store, wanted)
+		err := raiseOnce(ctx, s, wanted)
 		if err == nil || errors.Is(err, ErrRefused) {
 			return err
 		}
@@ -31,8 +31,8 @@
 }
 
 // raiseOnce makes one try. The read at its begin shows whether a former try without an answer took effect.
-func raiseOnce(ctx context.Context, store platform.Store, wanted Index) error {
-	index, version, err := readIndex(ctx, store)
+func raiseOnce(ctx context.Context, s store.Store, wanted Index) error {
+	index, version, err := readIndex(ctx, s)
 	if err != nil {
 		return err
 	}
@@ -44,8 +44,8 @@
 	if err != nil {
 		return err
 	}
-	err = store.CompareAndSwap(ctx, IndexKey, value, version)
-	if errors.Is(err, platform.ErrConflict) {
+	err = s.CompareAndSwap(ctx, IndexKey, value, version)
+	if errors.Is(err, store.ErrConflict) {
 		return eris.Wrap(ErrConflict, "index")
 	}
 	return convert(err)
@@ -53,9 +53,9 @@
 
 // readIndex returns the index with its version in the store. A missing index is empty. So is one that cannot be decoded:
 // it is replaced, and the entries raise what the replacement lacks.
-func readIndex(ctx context.Context, store platform.Store) (Index, uint64, error) {
-	entry, err := store.Get(ctx, IndexKey)
-	if errors.Is(err, platform.ErrNotFound) {
+func readIndex(ctx context.Context, s store.Store) (Index, uint64, error) {
+	entry, err := s.Get(ctx, IndexKey)
+	if errors.Is(err, store.ErrNotFound) {
 		return Index{}, 0, nil
 	}
 	if err != nil {
--- a/internal/document/record.go
+++ b/internal/document/record.go
@@ -8,14 +8,14 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
 const (
 	// Prefix begins the store key of every record; the name of the service follows. Nobody watches it, because a watch
 	// would return every record with its history at each edit.
-	Prefix = platform.Prefix + "services/"
+	Prefix = store.Prefix + "services/"
 	// MaxHistory is the number of former revisions that a record keeps.
 	MaxHistory = 20
 	// maxHistoryBytes is the largest sum of the bodies in the history.
@@ -141,7 +141,7 @@
 	r.History = append([]Past{}, r.History...)
 	for {
 		value, err := marshal(r)
-		if err != nil || len(value) <= platform.MaxValue {
+		if err != nil || len(value) <= store.MaxValue {
 			return value, err
 		}
 		if !r.dropOldestBody() {
--- a/internal/document/region_test.go
+++ b/internal/document/region_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 func bodyOf(region string) string {
@@ -101,7 +101,7 @@
 			record := document.Record{Revision: 9, EditID: "x", Body: bodyOf("south"), History: c.history}
 			value, err := json.Marshal(record)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
-			changes, problems := document.NewRegistry().ApplySnapshot([]platform.Entry{{Key: document.Key("bench"), Value: value, Version: 1}})
+			changes, problems := document.NewRegistry().ApplySnapshot([]store.Entry{{Key: document.Key("bench"), Value: value, Version: 1}})
 			g.Expect(problems).To(gomega.BeEmpty())
 			g.Expect(changes[0].Service.HomeRegion).To(gomega.Equal(c.region))
 		})
--- a/internal/document/registry_test.go
+++ b/internal/document/registry_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -29,13 +29,13 @@
 	return d
 }
 
-func entryOf(t *rapid.T, d document.Document, version uint64) platform.Entry {
+func entryOf(t *rapid.T, d document.Document, version uint64) store.Entry {
 	record := document.Record{Revision: d.Revision, EditID: d.EditID, Author: d.Author, At: d.At, Deleted: d.Deleted, Body: d.Body}
 	value, err := json.Marshal(record)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return platform.Entry{Key: document.Key(d.Service), Value: value, Version: version}
+	return store.Entry{Key: document.Key(d.Service), Value: value, Version: version}
 }
 
 // newer is the order that the registry promises.
@@ -65,7 +65,7 @@
 // apply passes a document by push or by a store read.
 func apply(t *rapid.T, registry *document.Registry, d document.Document) bool {
 	if rapid.Bool().Draw(t, "from the store") {
-		changes, problems := registry.ApplySnapshot([]platform.Entry{
+		changes, problems := registry.ApplySnapshot([]store.Entry{
 			{Key: "coltsfootspur/entries", Value: []byte("{}")}, entryOf(t, d, 1),
 		})
 		if len(problems) > 0 {
@@ -128,36 +128,36 @@
 		for range rapid.IntRange(1, 8).Draw(t, "held") {
 			registry.Apply(drawDocument(t))
 		}
-		store := map[string]platform.Entry{}
+		kept := map[string]store.Entry{}
 		for range rapid.IntRange(0, 5).Draw(t, "stored") {
 			e := entryOf(t, drawDocument(t), uint64(rapid.IntRange(1, 9).Draw(t, "version")))
-			store[e.Key] = e
+			kept[e.Key] = e
 		}
-		registry.ApplySnapshot(entries(store))
-		repairs, err := registry.Repairs(entries(store))
+		registry.ApplySnapshot(entries(kept))
+		repairs, err := registry.Repairs(entries(kept))
 		if err != nil {
 			t.Fatal(err)
 		}
 		for _, r := range repairs {
-			if store[r.Key].Version != r.Version {
+			if kept[r.Key].Version != r.Version {
 				t.Fatalf("repair of %s expects version %d", r.Service, r.Version)
 			}
-			store[r.Key] = platform.Entry{Key: r.Key, Value: r.Value, Version: r.Version + 1}
+			kept[r.Key] = store.Entry{Key: r.Key, Value: r.Value, Version: r.Version + 1}
 		}
-		if again, _ := registry.Repairs(entries(store)); len(again) > 0 {
+		if again, _ := registry.Repairs(entries(kept)); len(again) > 0 {
 			t.Fatal("repairs do not settle")
 		}
 		reader := document.NewRegistry()
-		reader.ApplySnapshot(entries(store))
+		reader.ApplySnapshot(entries(kept))
 		if reader.Digest() != registry.Digest() {
 			t.Fatal("store and registry differ after the repairs")
 		}
 	})
 }
 
-func entries(store map[string]platform.Entry) []platform.Entry {
-	var all []platform.Entry
-	for _, e := range store {
+func entries(kept map[string]store.Entry) []store.Entry {
+	var all []store.Entry
+	for _, e := range kept {
 		all = append(all, e)
 	}
 	return all
@@ -174,7 +174,7 @@
 	inForce, ok := registry.InForce("bench")
 	g.Expect([]any{ok, inForce.Team, registry.Revisions()["bench"]}).To(gomega.Equal([]any{true, "wax", uint64(2)}))
 
-	corrupt := []platform.Entry{{Key: document.Key("bench"), Value: []byte("{"), Version: 9}}
+	corrupt := []store.Entry{{Key: document.Key("bench"), Value: []byte("{"), Version: 9}}
 	changes, problems := registry.ApplySnapshot(corrupt)
 	g.Expect([]int{len(changes), len(problems)}).To(gomega.Equal([]int{0, 1}))
 	g.Expect(errors.Is(problems[0], document.ErrCorrupt)).To(gomega.BeTrue())
--- a/internal/document/repair.go
+++ b/internal/document/repair.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/rotisserie/eris"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // Repair is a compare-and-swap that brings a newer revision back to a store that shows older data.
@@ -16,7 +16,7 @@
 
 // ApplySnapshot applies what the store shows. Keys outside Prefix are ignored. Values that cannot be decoded are
 // returned as errors and change nothing.
-func (r *Registry) ApplySnapshot(entries []platform.Entry) ([]Change, []error) {
+func (r *Registry) ApplySnapshot(entries []store.Entry) ([]Change, []error) {
 	var changes []Change
 	var problems []error
 	for _, entry := range entries {
@@ -40,8 +40,8 @@
 // to cover Prefix. A value that cannot be decoded is left alone. The caller executes each with CompareAndSwap and
 // ignores conflicts: another process was faster, or the snapshot is outdated. Every entry computes the same repairs, so
 // a random delay before the writes saves calls.
-func (r *Registry) Repairs(entries []platform.Entry) ([]Repair, error) {
-	shown := map[string]platform.Entry{}
+func (r *Registry) Repairs(entries []store.Entry) ([]Repair, error) {
+	shown := map[string]store.Entry{}
 	for _, entry := range entries {
 		shown[entry.Key] = entry
 	}
@@ -59,7 +59,7 @@
 }
 
 // repairOf keeps the history that the store shows, with its present revision on top.
-func RepairOf(d Document, entry platform.Entry) (Repair, bool, error) {
+func RepairOf(d Document, entry store.Entry) (Repair, bool, error) {
 	var record Record
 	if entry.Version != 0 {
 		var err error
--- a/internal/document/settle.go
+++ b/internal/document/settle.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // Waits between two attempts to find out what became of a write.
@@ -74,10 +74,10 @@
 	switch {
 	case err == nil:
 		return true, nil
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		w.unclear = true
 		return false, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return !w.unclear, w.lost(ctx)
 	default:
 		return !w.unclear, convert(err)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -7,8 +7,8 @@
 	"github.com/apex/log"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
 	"github.com/coltsfootspur/coltsfootspur/internal/quota"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
@@ -54,7 +54,7 @@
 
 	// provenLease is the lease under which the store last showed this entry as a member. Only renewals from provenFrom on
 	// prove that nobody removed it.
-	provenLease platform.LeaseID
+	provenLease store.LeaseID
 	provenFrom  time.Time
 
 	// seen is the last snapshot of the watched keys, seenAt its time.
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -24,8 +24,8 @@
 	entry *Entry
 	// missing delivers when the watched keys do not show the lease.
 	missing <-chan struct{}
-	lease   platform.LeaseID // empty without one
-	bound   bool             // whether the key is known to be bound to the lease
+	lease   store.LeaseID // empty without one
+	bound   bool          // whether the key is known to be bound to the lease
 }
 
 // holdLease keeps the entry's lease in the store. The end of the lease stops nothing by itself: the entry takes a new
@@ -38,7 +38,7 @@
 		if err != nil {
 			delay = min(delay, storeRetryDelay)
 		}
-		if ctx.Err() == nil && (err == nil || errors.Is(err, platform.ErrUnavailable)) {
+		if ctx.Err() == nil && (err == nil || errors.Is(err, store.ErrUnavailable)) {
 			e.storeAnswered(err)
 		}
 		h.wait(ctx, delay)
@@ -55,7 +55,7 @@
 // answer is repeated, which is harmless.
 func (h *leaseHolder) step(ctx context.Context) error {
 	if h.lease != "" {
-		if err := h.renew(ctx); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err := h.renew(ctx); err != nil && !errors.Is(err, store.ErrNotFound) {
 			return err
 		}
 	}
@@ -78,7 +78,7 @@
 	if err == nil {
 		h.entry.lease.renewed(h.lease, sent)
 	}
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		h.lease, h.bound = "", false
 	}
 	return err
@@ -109,7 +109,7 @@
 	case err == nil:
 		h.bound = true
 		h.forgetMissing()
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		h.lease = ""
 	}
 	return err
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -9,7 +9,7 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/identity"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
 )
 
@@ -63,7 +63,7 @@
 	StopTimeout time.Duration
 
 	// Store is the platform's service. Clock, Dialer and Log default to the system's.
-	Store  platform.Store
+	Store  store.Store
 	Clock  clock.Clock
 	Dialer link.Dialer
 	Log    log.Interface
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -24,18 +24,18 @@
 // heldLease is what an entry knows about its lease. The lease service writes it, the control goroutine reads it.
 type heldLease struct {
 	mu        sync.Mutex
-	id        platform.LeaseID
+	id        store.LeaseID
 	renewedAt time.Time // when the last successful renewal was sent
 }
 
 // renewed notes a renewal, or the creation of a lease, that was sent at the given time and succeeded.
-func (h *heldLease) renewed(id platform.LeaseID, sent time.Time) {
+func (h *heldLease) renewed(id store.LeaseID, sent time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.id, h.renewedAt = id, sent
 }
 
-func (h *heldLease) last() (platform.LeaseID, time.Time) {
+func (h *heldLease) last() (store.LeaseID, time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.id, h.renewedAt
--- a/internal/entry/ownership_test.go
+++ b/internal/entry/ownership_test.go
@@ -8,7 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -28,8 +28,8 @@
 }
 
 // leaseOf returns the leases of a snapshot that shows the entry under this lease.
-func leaseOf(c *control, id platform.LeaseID) map[string]platform.LeaseID {
-	return map[string]platform.LeaseID{leaseKey(c.self()): id}
+func leaseOf(c *control, id store.LeaseID) map[string]store.LeaseID {
+	return map[string]store.LeaseID{leaseKey(c.self()): id}
 }
 
 // Guards against a refusal not_run by an entry that may have been expelled while it was paused or cut off.
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -92,7 +92,7 @@
 }
 
 func (e *Entry) readRecords() {
-	var all platform.Snapshot
+	var all store.Snapshot
 	err := e.withStore(e.background, func(ctx context.Context) (err error) {
 		all, err = e.options.Store.List(ctx, document.Prefix)
 		return err
@@ -101,7 +101,7 @@
 }
 
 // recordsRead applies all records of the store and repairs those that are older.
-func (c *control) recordsRead(entries []platform.Entry, err error) {
+func (c *control) recordsRead(entries []store.Entry, err error) {
 	c.records.checking = false
 	if err != nil {
 		c.log.WithField("cause", eris.ToString(err, false)).Warn("document: cannot read the records of the store")
@@ -123,7 +123,7 @@
 }
 
 // recordsSeen applies records of the store.
-func (c *control) recordsSeen(entries []platform.Entry) {
+func (c *control) recordsSeen(entries []store.Entry) {
 	changes, problems := c.documents.ApplySnapshot(entries)
 	for _, problem := range problems {
 		c.log.WithField("cause", eris.ToString(problem, false)).Error("document: cannot read a document of the store")
@@ -170,7 +170,7 @@
 			failed = true
 			continue
 		}
-		e.post(func(c *control) { c.recordsSeen([]platform.Entry{record}) })
+		e.post(func(c *control) { c.recordsSeen([]store.Entry{record}) })
 	}
 	e.post(func(c *control) { done(c, failed) })
 }
@@ -180,13 +180,13 @@
 }
 
 // readRecord returns the key of a record. Its version is 0 if it does not exist.
-func (e *Entry) readRecord(service string) (record platform.Entry, err error) {
+func (e *Entry) readRecord(service string) (record store.Entry, err error) {
 	err = e.withStore(e.background, func(ctx context.Context) (err error) {
 		record, err = e.options.Store.Get(ctx, document.Key(service))
 		return err
 	})
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Entry{}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Entry{}, nil
 	}
 	return record, err
 }
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -9,7 +9,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -155,7 +155,7 @@
 	}()
 }
 
-func (c *control) releaseLease(lease platform.LeaseID) error {
+func (c *control) releaseLease(lease store.LeaseID) error {
 	return c.entry.withStore(c.entry.background, func(ctx context.Context) error {
 		return c.options.Store.ReleaseLease(ctx, lease)
 	})
--- a/internal/entry/repair.go
+++ b/internal/entry/repair.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // Times of the repairs.
@@ -69,7 +69,7 @@
 	if needed {
 		return e.writeRepair(repair)
 	}
-	e.post(func(c *control) { c.recordsSeen([]platform.Entry{record}) })
+	e.post(func(c *control) { c.recordsSeen([]store.Entry{record}) })
 	return nil
 }
 
@@ -89,7 +89,7 @@
 	entry := e.log.WithField("service", r.Service)
 	if err == nil {
 		entry.Warn("document: wrote a newer revision back to the store")
-	} else if !errors.Is(err, platform.ErrConflict) {
+	} else if !errors.Is(err, store.ErrConflict) {
 		entry.WithField("cause", eris.ToString(err, false)).Warn("document: cannot write a newer revision back to the store")
 	}
 	return err
--- a/internal/entry/storebench_test.go
+++ b/internal/entry/storebench_test.go
@@ -17,8 +17,8 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
-	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/consul"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -38,8 +38,8 @@
 type storeBench struct {
 	*gomega.WithT
 	t       *testing.T
-	server  *standin.Server
-	store   *platform.Consul
+	server  *consul.Server
+	store   *store.Consul
 	editor  *document.Editor
 	network *network
 	nodes   []*node
@@ -47,10 +47,10 @@
 
 func newStoreBench(t *testing.T) *storeBench {
 	g := gomega.NewWithT(t)
-	server, err := standin.Start("127.0.0.1:0", standin.Options{MinTTL: testLeaseTTL})
+	server, err := consul.Start("127.0.0.1:0", consul.Options{MinTTL: testLeaseTTL})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(server.Close)
-	store, err := platform.NewConsul(platform.Options{Address: server.URL()})
+	store, err := store.NewConsul(store.Options{Address: server.URL()})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(store.Close)
 	return &storeBench{
@@ -67,7 +67,7 @@
 
 // add creates an entry that does not run yet.
 func (b *storeBench) add(id string, change func(o *Options)) *node {
-	store, err := platform.NewConsul(platform.Options{Address: b.server.URL()})
+	store, err := store.NewConsul(store.Options{Address: b.server.URL()})
 	b.Expect(err).NotTo(gomega.HaveOccurred())
 	b.t.Cleanup(store.Close)
 	n := &node{store: &cutStore{Store: store}}
@@ -223,7 +223,7 @@
 
 // cutStore is the way of one entry to the store. While it is cut, calls fail at once.
 type cutStore struct {
-	platform.Store
+	store.Store
 	mu     sync.Mutex
 	isCut  bool
 	cancel []context.CancelFunc
@@ -253,14 +253,14 @@
 	s.mu.Lock()
 	if s.isCut {
 		s.mu.Unlock()
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	s.cancel = append(s.cancel, cancel)
 	s.mu.Unlock()
 	return call(ctx)
 }
 
-func (s *cutStore) Get(ctx context.Context, key string) (entry platform.Entry, err error) {
+func (s *cutStore) Get(ctx context.Context, key string) (entry store.Entry, err error) {
 	err = s.pass(ctx, func(ctx context.Context) (err error) {
 		if strings.HasPrefix(key, document.Prefix) {
 			s.gets.Add(1)
@@ -271,7 +271,7 @@
 	return entry, err
 }
 
-func (s *cutStore) List(ctx context.Context, prefix string) (seen platform.Snapshot, err error) {
+func (s *cutStore) List(ctx context.Context, prefix string) (seen store.Snapshot, err error) {
 	err = s.pass(ctx, func(ctx context.Context) (err error) {
 		s.lists.Add(1)
 		seen, err = s.Store.List(ctx, prefix)
@@ -280,7 +280,7 @@
 	return seen, err
 }
 
-func (s *cutStore) Watch(ctx context.Context, prefix string, index uint64, wait time.Duration) (seen platform.Snapshot, err error) {
+func (s *cutStore) Watch(ctx context.Context, prefix string, index uint64, wait time.Duration) (seen store.Snapshot, err error) {
 	err = s.pass(ctx, func(ctx context.Context) (err error) {
 		seen, err = s.Store.Watch(ctx, prefix, index, wait)
 		return err
@@ -292,16 +292,16 @@
 	return s.pass(ctx, func(ctx context.Context) error { return s.Store.CompareAndSwap(ctx, key, value, version) })
 }
 
-func (s *cutStore) CreateLease(ctx context.Context, ttl time.Duration) (id platform.LeaseID, err error) {
+func (s *cutStore) CreateLease(ctx context.Context, ttl time.Duration) (id store.LeaseID, err error) {
 	err = s.pass(ctx, func(ctx context.Context) (err error) { id, err = s.Store.CreateLease(ctx, ttl); return err })
 	return id, err
 }
 
-func (s *cutStore) BindKey(ctx context.Context, lease platform.LeaseID, key string, value []byte) error {
+func (s *cutStore) BindKey(ctx context.Context, lease store.LeaseID, key string, value []byte) error {
 	return s.pass(ctx, func(ctx context.Context) error { return s.Store.BindKey(ctx, lease, key, value) })
 }
 
-func (s *cutStore) RenewLease(ctx context.Context, lease platform.LeaseID) error {
+func (s *cutStore) RenewLease(ctx context.Context, lease store.LeaseID) error {
 	return s.pass(ctx, func(ctx context.Context) error { return s.Store.RenewLease(ctx, lease) })
 }
 
--- a/internal/entry/storedocuments_test.go
+++ b/internal/entry/storedocuments_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
-	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/consul"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 )
 
 // revisions returns the revision of each record in the store.
@@ -124,7 +124,7 @@
 	const edits = 15
 	b := newStoreBench(t)
 	nodes := b.start("a", "b", "c")
-	b.Expect(b.server.SetFaults(standin.Faults{LoseAnswers: 5, DropWrites: 2})).To(gomega.Succeed())
+	b.Expect(b.server.SetFaults(consul.Faults{LoseAnswers: 5, DropWrites: 2})).To(gomega.Succeed())
 	var editors sync.WaitGroup
 	for range 2 {
 		editors.Add(1)
@@ -167,14 +167,14 @@
 
 // hookedReads calls a hook before each read of a record. An error of the hook is that of the read.
 type hookedReads struct {
-	platform.Store
+	store.Store
 	hook func() error
 }
 
-func (s hookedReads) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s hookedReads) Get(ctx context.Context, key string) (store.Entry, error) {
 	if strings.HasPrefix(key, document.Prefix) {
 		if err := s.hook(); err != nil {
-			return platform.Entry{}, err
+			return store.Entry{}, err
 		}
 	}
 	return s.Store.Get(ctx, key)
@@ -196,7 +196,7 @@
 	var reads atomic.Int64
 	n := b.startHooked(func() error {
 		if reads.Add(1) <= 2 {
-			return platform.ErrUnavailable
+			return store.ErrUnavailable
 		}
 		return nil
 	})
--- a/internal/entry/storesync.go
+++ b/internal/entry/storesync.go
@@ -11,14 +11,14 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
 // Keys in the store. All of them are watched.
 const (
-	listKey     = platform.WatchPrefix + "entries"
-	leasePrefix = platform.WatchPrefix + "leases/"
+	listKey     = store.WatchPrefix + "entries"
+	leasePrefix = store.WatchPrefix + "leases/"
 )
 
 // Times of the calls to the store.
@@ -46,13 +46,13 @@
 // snapshot is what one read of the watched keys showed.
 type snapshot struct {
 	list   *wire.EntryList
-	leases map[string]platform.LeaseID // by leaseKey
+	leases map[string]store.LeaseID // by leaseKey
 	index  document.Index
 	// wentBack is set when the store shows an earlier position than before: it was restored from older data.
 	wentBack bool
 }
 
-func newSnapshot() *snapshot { return &snapshot{leases: make(map[string]platform.LeaseID)} }
+func newSnapshot() *snapshot { return &snapshot{leases: make(map[string]store.LeaseID)} }
 
 // holds reports whether the lease of this run of a member is there.
 func (s *snapshot) holds(m wire.Member) bool {
@@ -84,10 +84,10 @@
 	return ctx.Err()
 }
 
-func (e *Entry) watchOnce(ctx context.Context, index uint64, wait time.Duration) (platform.Snapshot, error) {
+func (e *Entry) watchOnce(ctx context.Context, index uint64, wait time.Duration) (store.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+wait/watchMargin+storeTimeout)
 	defer cancel()
-	return e.options.Store.Watch(ctx, platform.WatchPrefix, index, wait)
+	return e.options.Store.Watch(ctx, store.WatchPrefix, index, wait)
 }
 
 // storeAnswered logs when the store goes away and when it comes back.
@@ -105,7 +105,7 @@
 
 // parseSnapshot decodes the watched keys. A list or an index that cannot be decoded counts as missing. The index is then
 // replaced; a list is left to the operators, because its version decides who may start work.
-func (e *Entry) parseSnapshot(entries []platform.Entry) *snapshot {
+func (e *Entry) parseSnapshot(entries []store.Entry) *snapshot {
 	s := newSnapshot()
 	for _, entry := range entries {
 		var err error
@@ -165,7 +165,7 @@
 		case err == nil:
 			e.post(func(c *control) { c.adoptList(next) })
 			return nil
-		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrOutcomeUnknown):
+		case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrOutcomeUnknown):
 			continue
 		default:
 			return err
@@ -176,12 +176,12 @@
 // readList reads the list from the store. A list that does not exist yet is empty.
 func (e *Entry) readList(ctx context.Context) (list *wire.EntryList, version uint64, err error) {
 	list = new(wire.EntryList)
-	var entry platform.Entry
+	var entry store.Entry
 	err = e.withStore(ctx, func(ctx context.Context) error {
 		entry, err = e.options.Store.Get(ctx, listKey)
 		return err
 	})
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return list, 0, nil
 	}
 	if err != nil {
--- a/internal/entry/storesync_test.go
+++ b/internal/entry/storesync_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/onsi/gomega"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
-	standin "github.com/coltsfootspur/coltsfootspur/internal/standin/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/standin/consul"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -33,7 +33,7 @@
 func TestLostAnswersOfWrites(t *testing.T) {
 	t.Parallel()
 	for writes := range 5 {
-		for name, f := range map[string]standin.Faults{"lost": {LoseAnswers: writes}, "dropped": {DropWrites: writes}} {
+		for name, f := range map[string]consul.Faults{"lost": {LoseAnswers: writes}, "dropped": {DropWrites: writes}} {
 			t.Run(fmt.Sprintf("%s %d", name, writes), func(t *testing.T) {
 				t.Parallel()
 				b := newStoreBench(t)
@@ -48,13 +48,13 @@
 
 // droppedBinds is a store that loses the first writes of lease keys.
 type droppedBinds struct {
-	platform.Store
+	store.Store
 	left *atomic.Int64
 }
 
-func (s droppedBinds) BindKey(ctx context.Context, lease platform.LeaseID, key string, value []byte) error {
+func (s droppedBinds) BindKey(ctx context.Context, lease store.LeaseID, key string, value []byte) error {
 	if s.left.Add(-1) >= 0 {
-		return platform.ErrOutcomeUnknown
+		return store.ErrOutcomeUnknown
 	}
 	return s.Store.BindKey(ctx, lease, key, value)
 }
--- a/internal/entry/storetraffic_test.go
+++ b/internal/entry/storetraffic_test.go
@@ -15,7 +15,7 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/document"
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
-	"github.com/coltsfootspur/coltsfootspur/internal/platform"
+	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -137,7 +137,7 @@
 	b := newStoreBench(t)
 	b.fillTarget()
 	counter := newByteCounter(t, b.server.URL())
-	store, err := platform.NewConsul(platform.Options{Address: "http://" + counter.listener.Addr().String()})
+	store, err := store.NewConsul(store.Options{Address: "http://" + counter.listener.Addr().String()})
 	b.Expect(err).NotTo(gomega.HaveOccurred())
 	n := b.add("entry-99", func(o *Options) { o.LeaseTTL = time.Minute })
 	n.store.Store = store
--- a/internal/standin/platform/server.go
+++ b/internal/standin/consul/server.go
@@ -1,8 +1,8 @@
-// Package platform is a stand-in for the platform's key-value service, for tests and trials.
+// Package consul is a stand-in for the platform's key-value service, for tests and trials.
 //
 // It speaks the published HTTP API of Consul for keys (?cas, ?acquire, ?recurse, ?index with ?wait) and sessions (TTL,
 // renew, destroy), in memory and without a cluster. Faults are switched over HTTP below /fault/ or by methods.
-package platform
+package consul
 
 import (
 	"context"
--- a/internal/standin/platform/store.go
+++ b/internal/standin/consul/store.go
@@ -1,4 +1,4 @@
-package platform
+package consul
 
 import (
 	"context"
--- a/internal/platform/store.go
+++ b/internal/store/store.go
@@ -1,8 +1,8 @@
-// Package platform is the client of the platform's key-value service, called the store.
+// Package store is the client of the platform's key-value service, called the store.
 //
 // Store is the narrow interface that the rest of the program uses. Consul implements it over the HTTP API for keys and
 // sessions that Consul publishes. Another store needs another implementation and no other change.
-package platform
+package store
 
 import (
 	"context"
