Pace the passes over a long backlog at an entry

Each report of each of 61 agents then cost a sort of all waiting tasks and a search over all agents for each job, because jobs differ in their needs; the entry answered 70 jobs in a quarter of a second before and 16 at 13.5 s, with 380 tasks waiting, and its agents dropped it.

Ruled out: the link of 25 Mbit/s (about 0.7 MB/s of offers), the workers (other zones).

Change: a pass is made when something has changed, every 10 ms, and with over 32 waiting tasks at most every 4 ms; a task that asks for at least as much as one without room is passed over; deadlines are looked at every 10 ms.

TestPassesOverALongBacklogArePaced fails before the change.

--- a/internal/scheduler/agents.go
+++ b/internal/scheduler/agents.go
@@ -110,7 +110,7 @@
 	if a == nil || !a.linked || load.Fence < a.fence {
 		return false
 	}
-	a.load, a.loaded = load, true
+	a.load, a.loaded, s.changed = load, true, true
 	a.recount()
 	if load.Open {
 		a.fence = load.Fence // an agent opens after the worker has accepted its token
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -50,8 +50,31 @@
 	}
 }
 
+// Times between two passes over the waiting tasks.
+const (
+	// longBacklog is the number of tasks left by a pass from which on passes are paced: each costs in proportion.
+	longBacklog = 32
+	// backlogPace is the least time between two passes with a long backlog; it is short against the slack of all tasks.
+	backlogPace = 4 * time.Millisecond
+	// idlePace is the longest time between two passes: with time tasks become late and go to slower workers.
+	idlePace = 10 * time.Millisecond
+)
+
+// due reports whether a pass over the waiting tasks can change anything that is worth its cost.
+func (s *Scheduler) due(now time.Time) bool {
+	since := now.Sub(s.passed)
+	if s.waiting.Len() > longBacklog && since < backlogPace && since >= 0 {
+		return false
+	}
+	return s.changed || since >= idlePace || since < 0
+}
+
 // assign offers waiting tasks to agents, the most urgent first, while one has room.
 func (s *Scheduler) assign(now time.Time) {
+	if s.waiting.Len() == 0 || !s.due(now) {
+		return
+	}
+	s.changed, s.passed = false, now
 	s.waiting.sort(now)
 	kept := s.waiting.tasks[:0]
 	var full []job.Step // needs that found no room in this pass
@@ -72,13 +95,14 @@
 	s.waiting.tasks = kept
 }
 
-// blocked reports whether an equal task found no room in this pass.
+// blocked reports whether a task that asks for no more than this one found no room in this pass.
 func blocked(full []job.Step, t *task) bool {
 	if len(t.avoid) > 0 {
 		return false
 	}
 	for i := range full {
-		if full[i].Estimate <= t.step.Estimate && full[i].Needs == t.step.Needs && full[i].Label == t.step.Label && full[i].MaxPerWorker == t.step.MaxPerWorker {
+		f := &full[i]
+		if f.Estimate <= t.step.Estimate && f.Needs.Fits(t.step.Needs) && f.Label == t.step.Label && f.MaxPerWorker == t.step.MaxPerWorker {
 			return true
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -153,6 +153,10 @@
 	waits   waits
 	list    []*agent
 	number  uint64
+	// changed is set when something has happened since the last pass over the waiting tasks, at passed.
+	changed bool
+	passed  time.Time
+	swept   time.Time // when the deadlines of all jobs were last looked at
 
 	out     []Offer
 	answers []Answer
@@ -205,8 +209,7 @@
 	for _, t := range j.tasks {
 		if t.state == taskBlocked && j.ready(t.step) {
 			t.latest = j.latestStart(t)
-			t.state = taskWaiting
-			s.waiting.push(t)
+			s.wait(t)
 		}
 	}
 }
@@ -351,6 +354,7 @@
 func (s *Scheduler) wait(t *task) {
 	t.state = taskWaiting
 	s.waiting.push(t)
+	s.changed = true
 }
 
 // Began notes that the task of an offer has begun.
@@ -364,6 +368,17 @@
 // Advance does what is due at a time: it gives up jobs whose deadline has come, frees tasks whose former runs are over,
 // and assigns what waits.
 func (s *Scheduler) Advance(now time.Time) {
+	if since := now.Sub(s.swept); since >= sweepInterval || since < 0 {
+		s.swept = now
+		s.sweep(now)
+	}
+	s.assign(now)
+}
+
+// sweepInterval is the resolution of deadlines and of the ends of uncertain runs.
+const sweepInterval = 10 * time.Millisecond
+
+func (s *Scheduler) sweep(now time.Time) {
 	for _, j := range s.jobs {
 		switch {
 		case !j.Deadline.After(now):
@@ -378,7 +393,6 @@
 			s.loseRun(t)
 		}
 	}
-	s.assign(now)
 }
 
 // loseRun puts a task back into the queue whose run at a lost agent is over.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -277,3 +277,52 @@
 	g.Expect(offers).To(gomega.HaveLen(1))
 	g.Expect(offers[0].Offer.Job).To(gomega.Equal("urgent"))
 }
+
+// Guards against a pass over a long backlog at each report of each agent, for which the processor of a small entry does not
+// suffice: it then loses its links and all runs.
+func TestPassesOverALongBacklogArePaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := withAgents(2, 2)
+	full, room := load(0), load(2)
+	full.RemainingMillis, room.RemainingMillis = 1000, 1000
+	for _, id := range []scheduler.AgentID{"a", "b"} {
+		s.Report(start, id, full)
+	}
+	for i := range 60 {
+		s.Submit(start, newJob(fmt.Sprint(i), 1, queue(0, 2)))
+	}
+	s.Advance(start.Add(10 * time.Millisecond))
+	s.Report(start, "a", room)
+	s.Advance(start.Add(11 * time.Millisecond))
+	offers, _ := s.Take()
+	g.Expect(offers).To(gomega.BeEmpty())
+	s.Report(start, "b", room)
+	s.Advance(start.Add(14 * time.Millisecond))
+	offers, _ = s.Take()
+	g.Expect(offers).To(gomega.HaveLen(2), "one pass serves what two reports have made room for")
+}
+
+func BenchmarkBacklog(b *testing.B) {
+	cores := make([]int64, 61)
+	for i := range cores {
+		cores[i] = 16
+	}
+	s := withAgents(cores...)
+	full := load(0)
+	full.RemainingMillis = 1000
+	for i := range cores {
+		s.Report(start, scheduler.AgentID('a'+rune(i)), full)
+	}
+	for i := range 300 {
+		j := newJob(fmt.Sprint(i), 1, queue(0, 2))
+		j.Spec.Steps[0].Needs.MilliCPU += int64(i)
+		j.Deadline = start.Add(time.Hour)
+		s.Submit(start, j)
+	}
+	now := start
+	for i := range b.N {
+		now = now.Add(time.Millisecond) // about as often as 61 agents report
+		s.Report(now, scheduler.AgentID('a'+rune(i%61)), full)
+		s.Advance(now)
+	}
+}
