--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -302,15 +302,41 @@
 	g.Expect(offers).To(gomega.HaveLen(2), "one pass serves what two reports have made room for")
 }
 
-func BenchmarkBacklog(b *testing.B) {
-	cores := make([]int64, 61)
+// ofEqualAgents returns a scheduler with a number of agents of 16 cores.
+func ofEqualAgents(n int) *scheduler.Scheduler {
+	cores := make([]int64, n)
 	for i := range cores {
 		cores[i] = 16
 	}
-	s := withAgents(cores...)
+	return withAgents(cores...)
+}
+
+// Cost of a job of four tasks from its submission to its answer, by the number of agents.
+func BenchmarkJob(b *testing.B) {
+	for _, agents := range []int{11, 61, 730} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			s := ofEqualAgents(agents)
+			for i := range b.N {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				j := newJob(fmt.Sprint(i), 4, queue(0, 2))
+				j.Arrived, j.Deadline = now, now.Add(2*time.Second)
+				s.Submit(now, j)
+				offers, _ := s.Take()
+				for _, o := range offers {
+					s.End(now, o.Agent, wire.RunEnd{Number: o.Offer.Number, Outcome: wire.RunDone, Attempt: 1})
+				}
+				s.Take()
+			}
+		})
+	}
+}
+
+// Cost of a load report while 300 jobs wait and no agent has room.
+func BenchmarkBacklog(b *testing.B) {
+	s := ofEqualAgents(61)
 	full := load(0)
 	full.RemainingMillis = 1000
-	for i := range cores {
+	for i := range 61 {
 		s.Report(start, scheduler.AgentID('a'+rune(i)), full)
 	}
 	for i := range 300 {
