Pause between looks at a worker that answers with errors

Ruled out: workers that are down (20 looks a second), the pool of connections.

Change: 20 ms between a look that failed and the next one.

--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -37,6 +37,8 @@
 	Lose float64
 	// Late is the share of orders that get no answer and are carried out later.
 	Late float64
+	// Error is the share of orders that are answered with 500 and not carried out.
+	Error float64
 	// Hang keeps all runs from getting further, Fail lets every run fail at its end.
 	Hang, Fail bool
 }
@@ -70,6 +72,7 @@
 	highest map[string]uint32
 	ends    []end
 	number  uint64
+	calls   int
 }
 
 type run struct {
@@ -137,6 +140,13 @@
 	return len(w.runs)
 }
 
+// Calls returns the number of calls that the worker has got.
+func (w *Worker) Calls() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls
+}
+
 func (w *Worker) clock() time.Duration { return time.Since(w.began) }
 
 // work advances the runs and ends those whose lease is over.
@@ -200,6 +210,11 @@
 	w.mu.Lock()
 	roll := rand.Float64()
 	faults := w.faults
+	w.calls++
+	if rand.Float64() < faults.Error {
+		w.mu.Unlock()
+		return c.NoContent(http.StatusInternalServerError)
+	}
 	if roll >= faults.Late {
 		defer w.mu.Unlock()
 		status, body := do(o)
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -28,6 +28,9 @@
 	// muteAfter is the time without an answer to any look after which the worker counts as mute. It leaves room for a
 	// process that is paused for most of 100 ms at either side.
 	muteAfter = 220 * time.Millisecond
+	// lookRetry is the least time after a look that failed until the next one: a worker that answers with errors does so at
+	// once, and often closes the connection, which costs a new one.
+	lookRetry = 20 * time.Millisecond
 	// muteInterval is the interval of looks at a worker that does not answer.
 	muteInterval = 50 * time.Millisecond
 	// killTime is the time in which a worker ends its runs once their lease is over; it is that of a stop.
@@ -54,6 +57,7 @@
 	waiting  bool      // the last look has no answer
 	lookedAt time.Time // when the last look was made
 	answered time.Time // when the last look was answered
+	failed   time.Time // when the last look failed
 	isMute   bool
 	lapsed   bool
 }
@@ -124,6 +128,7 @@
 	case w.looks >= maxLooks:
 	case w.isMute && age < muteInterval:
 	case w.waiting && age < lookOverdue:
+	case now.Sub(w.failed) < lookRetry:
 	default:
 		w.look(now)
 	}
@@ -191,6 +196,7 @@
 
 func (w *workerContact) lookFailed(now time.Time, err error) {
 	c := w.control
+	w.failed = now
 	switch {
 	case errors.Is(err, runs.ErrFenced):
 		w.answered = now
