Send no offer on another link than the one it was decided for

An entry that was frozen for 3.9 s goes on at 26.89 s. One batch of its control loop then holds submissions, the end of the link that the agent had closed, and the next link of the same agent process. The offers that followed from the submissions were decided on while the old link counted as open; the first message on the new link named them as outstanding, the agent answered that it has no such offers, and after that they were sent on the new link and began, while the tasks went to another worker.

Ruled out: the contact times (the runs overlap 20 ms after the entry went on), a replaced process (same_process=true in the log), callers that come again (one entry has taken the job).

Change: what was decided on for an agent and not fetched yet is taken back when the agent is out of contact; such tasks wait again at once.

TestOffersThatWereNotSentDieWithTheLink fails before.

--- a/internal/scheduler/agents.go
+++ b/internal/scheduler/agents.go
@@ -79,11 +79,32 @@
 		return
 	}
 	a.linked, a.loaded = false, false
+	s.dropUnsent(a)
 	for _, t := range a.tasks {
 		t.state, t.overAt = taskUncertain, overAt
 	}
 }
 
+// dropUnsent takes back what was decided on for an agent and was not fetched with Take. It must not be sent on another link:
+// the agent has then denied that it has these offers.
+func (s *Scheduler) dropUnsent(a *agent) {
+	kept := s.out[:0]
+	for _, o := range s.out {
+		if o.Agent != a.id {
+			kept = append(kept, o)
+			continue
+		}
+		if o.Offer == nil {
+			continue // a withdrawal: the next link names what is still wanted
+		}
+		if t := s.offers[o.Offer.Number]; t != nil {
+			s.forget(t)
+			s.wait(t)
+		}
+	}
+	s.out = kept
+}
+
 // AgentResumed tells that the same process of an agent is in contact again and still holds an offer.
 func (s *Scheduler) AgentResumed(id AgentID, number uint64) {
 	if t := s.offers[number]; t != nil && t.agent != nil && t.agent.id == id && t.state == taskUncertain {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -124,6 +124,24 @@
 	g.Expect(answers[0].Outcome).To(gomega.Equal(scheduler.Complete))
 }
 
+// Guards against two runs of a task: an entry that was paused finds a submission, the end of a link and the next link of the
+// same agent at once. An offer that was decided on for the first link was told to the agent as outstanding, which it denied,
+// and was then sent on the second one, while the task went elsewhere.
+func TestOffersThatWereNotSentDieWithTheLink(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := withAgents(16)
+	s.Submit(start, newJob("j", 2, queue(0, 2)))
+	s.AgentLost(start, "a", start.Add(time.Second))
+	s.AgentUp("a", 1, "dc")
+	g.Expect(s.Outstanding("a")).To(gomega.BeEmpty())
+	offers, _ := s.Take()
+	g.Expect(offers).To(gomega.BeEmpty())
+	s.Report(start, "a", load(16))
+	s.Advance(start.Add(time.Millisecond))
+	offers, _ = s.Take()
+	g.Expect(offers).To(gomega.HaveLen(2), "they were never sent, so that they need not wait")
+}
+
 // Guards against waiting out the time of contact after an agent was replaced: the next process takes work only after it
 // has seen all former runs end.
 func TestReplacedAgentFreesTheTasks(t *testing.T) {
