Count no offer that was not sent

Cause: an offer that is taken back before it was sent stayed in the figures of its job, so that a job of an entry without contact waited for its deadline instead of the 502 after 250 ms that sends its caller elsewhere, and its log line named an offer too many.

Measured: TestJobWithOffersThatWereNotSentGoesElsewhere fails before the change.

--- a/internal/scheduler/agents.go
+++ b/internal/scheduler/agents.go
@@ -99,6 +99,7 @@
 		}
 		if t := s.offers[o.Offer.Number]; t != nil {
 			s.forget(t)
+			t.job.unoffer()
 			s.wait(t)
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -204,6 +204,14 @@
 	return nil
 }
 
+// unoffer takes back one offer from the figures of the job.
+func (j *Job) unoffer() {
+	j.Offered--
+	if j.Offered == 0 {
+		j.FirstOffer = time.Time{}
+	}
+}
+
 // release puts the tasks whose earlier steps are done into the queue.
 func (s *Scheduler) release(j *Job) {
 	for _, t := range j.tasks {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -142,6 +142,18 @@
 	g.Expect(offers).To(gomega.HaveLen(2), "they were never sent, so that they need not wait")
 }
 
+// Guards against a job that waits for its deadline because of offers that were never sent.
+func TestJobWithOffersThatWereNotSentGoesElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := withAgents(16)
+	s.Submit(start, newJob("j", 2, queue(0, 2)))
+	s.AgentLost(start, "a", start.Add(time.Second))
+	s.Advance(start.Add(300 * time.Millisecond))
+	_, answers := s.Take()
+	g.Expect(answers).To(gomega.HaveLen(1))
+	g.Expect(answers[0].Outcome).To(gomega.Equal(scheduler.Unreachable))
+}
+
 // Guards against waiting out the time of contact after an agent was replaced: the next process takes work only after it
 // has seen all former runs end.
 func TestReplacedAgentFreesTheTasks(t *testing.T) {
