--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -160,8 +160,12 @@
 	defer close(e.applied)
 	before := c.table.Announcement()
 	if !c.table.SetWorker(now, e.announcement) {
-		c.log.WithFields(log.Fields{"worker": e.announcement.ID, "sequence": e.announcement.Sequence}).
-			Info("agent: outdated announcement of the worker ignored")
+		c.agent.options.Metrics.AnnouncementsIgnored.Add(1)
+		c.log.WithFields(log.Fields{
+			"worker": e.announcement.ID, "born": e.announcement.StartedMillis, "sequence": e.announcement.Sequence,
+			"draining": e.announcement.Draining, "known_worker": before.ID, "known_born": before.StartedMillis,
+			"known_sequence": before.Sequence, "known_draining": before.Draining,
+		}).Warn("agent: outdated announcement of the worker ignored")
 		return
 	}
 	if before.ID != e.announcement.ID || before.StartedMillis != e.announcement.StartedMillis ||
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -189,12 +189,24 @@
 	}
 	w.unresponsive, w.leaseExpired, w.answeredAt = false, false, now
 	if w.startedMillis != e.snapshot.StartedMillis {
+		w.logNewIncarnation(e.snapshot)
 		w.startedMillis, w.leaseUntil = e.snapshot.StartedMillis, 0 // the worker's clock restarts with each incarnation
 	}
 	w.recordClock(e.snapshot.Clock, now)
 	c.table.HandleSnapshot(now, e.sent, e.snapshot)
 }
 
+// logNewIncarnation logs that the worker answers as another incarnation, and which announcement is known at that time.
+func (w *workerClient) logNewIncarnation(snapshot runs.Snapshot) {
+	known := w.control.table.Announcement()
+	w.control.agent.options.Metrics.WorkerIncarnations.Add(1)
+	w.control.log.WithFields(log.Fields{
+		"born": snapshot.StartedMillis, "previous_born": w.startedMillis, "runs": len(snapshot.Running),
+		"announced_worker": known.ID, "announced_born": known.StartedMillis, "announced_sequence": known.Sequence,
+		"announced_draining": known.Draining,
+	}).Info("agent: another incarnation of the worker answers")
+}
+
 func (w *workerClient) handlePollError(now time.Time, err error) {
 	c := w.control
 	w.failedAt = now
