Reproduce starts on a worker that had announced its end, as a known failure

The stand-in worker records the acknowledgement of its end, and a later start as a violation; it can restart under its id while its heartbeats go on.

--- a/internal/runs/table_test.go
+++ b/internal/runs/table_test.go
@@ -345,6 +345,30 @@
 	g.Expect(table.Announcement().StartedMillis).To(gomega.BeEquivalentTo(2))
 }
 
+// Guards against starts on a worker that leaves after a restart under its id. Its announcements count from 1 again, and a
+// snapshot can show the restart before any of them arrives.
+func TestWorkerThatRestartsAndLeavesGetsNoStarts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, w, now := newTable(g, 10)
+	announce := func(sequence uint64, draining bool) {
+		table.SetWorker(now, runs.Announcement{
+			ID: "w", StartedMillis: w.startedMillis, Sequence: sequence, Service: "bench", Draining: draining,
+			Capacity: job.Resources{MilliCPU: w.capacity},
+		})
+	}
+	announce(9, false)
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	w.restart()
+	now = now.Add(time.Millisecond)
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	announce(1, false)
+	announce(2, true)
+	table.AddOffer(now, 1, wire.Offer{Number: 1, Job: "a", Service: "bench", MilliCPU: 8, BudgetMillis: 10_000})
+	commands, _ := table.TakeOutput()
+	g.Expect(commands).To(gomega.BeEmpty())
+	g.Expect(table.Load(now).Open).To(gomega.BeFalse())
+}
+
 // Guards against work for a worker whose runs make no progress.
 func TestWorkerThatTakesNoWork(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -53,6 +53,8 @@
 	RunTime time.Duration
 	// Ledger records the runs. All workers of a deployment share one.
 	Ledger *Ledger
+	// LeavingGrace is the time after the acknowledgement of its end within which the worker still accepts starts.
+	LeavingGrace time.Duration
 }
 
 // Worker is one incarnation of a worker, from Start to Close. A restart is a new Worker.
@@ -74,6 +76,7 @@
 	endedRuns           []endedRun        // not yet acknowledged by a poll
 	lastEndNumber       uint64
 	calls               int
+	leavingSince        time.Time // when its agent acknowledged that the worker leaves; zero before that
 }
 
 type run struct {
@@ -142,6 +145,16 @@
 	return len(w.runs)
 }
 
+// RecordLeaving records that the agent has acknowledged that the worker leaves. Starts later than Options.LeavingGrace after
+// it are violations.
+func (w *Worker) RecordLeaving() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.leavingSince.IsZero() {
+		w.leavingSince = time.Now()
+	}
+}
+
 // Calls returns the number of calls that the worker has received.
 func (w *Worker) Calls() int {
 	w.mu.Lock()
@@ -205,6 +218,7 @@
 	FencingToken uint64
 	LastSeen     uint64
 	WaitMs       int64
+	late         bool // the call is executed late
 }
 
 // handleCall executes a call under the lock and sends its answer, subject to the faults: the call can fail, be executed
@@ -234,6 +248,7 @@
 	time.AfterFunc(minLateDelay+rand.N(maxLateDelay-minLateDelay), func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		p.late = true
 		execute(p)
 	})
 	return withholdAnswer(c)
@@ -297,6 +312,10 @@
 	w.highestAttempts[p.Task] = p.Attempt
 	w.runs[p.Task] = &run{task: p.Task, attempt: p.Attempt, lastAdvanced: time.Now()}
 	w.options.Ledger.recordStart(p.Task, w)
+	if after := time.Since(w.leavingSince); !w.leavingSince.IsZero() && !p.late && after > w.options.LeavingGrace {
+		w.options.Ledger.recordViolation(fmt.Sprintf("worker %s starts task %s %s after its end was acknowledged",
+			w.id, p.Task, after.Round(time.Millisecond)))
+	}
 	if used := int64(len(w.runs)) * w.options.Need; used > w.options.MilliCPU {
 		w.options.Ledger.recordViolation(fmt.Sprintf("worker %s runs tasks for %d millicores, its capacity is %d",
 			w.id, used, w.options.MilliCPU))
