Bind what a worker announces, its clock and its runs to the incarnation that answers polls

What callers saw: tasks started on a worker whose agent had acknowledged more than DrainMs before that it leaves (DRAIN), so that they could be lost when it ended.

Cause: a worker that restarts under its id numbers its announcements from 1 again. It then ignored every announcement until the numbers had caught up (after 100 heartbeats of 1.5 s that is 150 s), and the registry acknowledged each of them, also the one that says that the worker leaves. The class of fault: knowledge about one incarnation of a peer applied to another one, and an acknowledgement of something that was not recorded.

The same cause, found with it and repaired by the same change: - an incarnation stayed closed because the previous one had been leaving; - runs that had been started on the new incarnation before the agent knew of it were reported as ended while they went on, and their tasks were offered elsewhere; - 'later incarnation' was decided by start times of the worker's clock, which can jump back: such a worker was never used again, and its announcements were acknowledged and ignored; - the clock in a late answer of a previous incarnation was used for leases of the present one.

Why this works: announcements are kept by id and start time, so an acknowledged one is always recorded; the order of the polls decides which incarnation answers; the end that an incarnation announced holds whatever arrives after it.

Ruled out: delayed announcements within one incarnation (the sequence numbers order them), an agent that restarts (it starts nothing before an announcement), starts sent in time and carried out late (they carry a lease of 400 ms).

--- a/internal/runs/results.go
+++ b/internal/runs/results.go
@@ -75,24 +75,29 @@
 }
 
 // HandleSnapshot applies a snapshot of the worker. polledAt is when the call was made: a run that the snapshot does not list
-// was not on the worker then.
-func (t *Table) HandleSnapshot(now, polledAt time.Time, snapshot Snapshot) {
-	if t.workerKnown && snapshot.StartedMillis != 0 && t.announcement.StartedMillis != 0 &&
-		snapshot.StartedMillis != t.announcement.StartedMillis {
-		if snapshot.StartedMillis < t.announcement.StartedMillis {
-			return
-		}
-		t.resetForIncarnation(now, snapshot.StartedMillis)
+// was not on the worker then. It returns false, and ignores the snapshot, if it may be that of an earlier incarnation. The
+// time of day can jump, so the order of the polls decides which incarnation is the later one, and not their start times.
+func (t *Table) HandleSnapshot(now, polledAt time.Time, snapshot Snapshot) bool {
+	switch {
+	case !t.hasSnapshot:
+		t.incarnation, t.hasSnapshot = snapshot.StartedMillis, true
+		t.life = max(t.life, t.incarnation)
+		t.applyAnnouncement(now)
+	case snapshot.StartedMillis == t.incarnation:
+	case polledAt.Before(t.snapshotAt):
+		return false
+	default:
+		t.replaceIncarnation(now, polledAt, snapshot)
 	}
-	t.unresponsive = false
+	t.unresponsive, t.snapshotAt = false, now
 	for _, f := range snapshot.Finished {
 		t.handleFinished(now, f)
 	}
-	if t.hasSnapshot && polledAt.Before(t.latestPollAt) {
+	if polledAt.Before(t.latestPollAt) {
 		t.startWaiting(now)
-		return // a snapshot of a later poll was already applied
+		return true // a snapshot of a later poll was already applied
 	}
-	t.hasSnapshot, t.latestPollAt = true, polledAt
+	t.latestPollAt = polledAt
 	listed := make(map[Ref]bool, len(snapshot.Running))
 	progressed := false
 	work, elapsed := 0.0, 0.0
@@ -112,6 +117,7 @@
 	t.resolveStarts(now, polledAt, listed)
 	t.health.recordSnapshot(now, progressed || len(snapshot.Finished) > 0, len(snapshot.Running))
 	t.startWaiting(now)
+	return true
 }
 
 func (t *Table) handleFinished(now time.Time, finished Finished) {
@@ -227,7 +233,11 @@
 		case r.state == starting && polledAt.Sub(r.startedAt) >= t.config.StartGracePeriod:
 			t.stopUnconfirmed(now, r)
 		case r.state == unconfirmed && !r.stopAnsweredAt.IsZero() && polledAt.After(r.stopAnsweredAt):
-			t.requeue(now, r)
+			if r.mayHaveRun {
+				t.endOffer(now, r, wire.RunStopped, "the worker restarted")
+			} else {
+				t.requeue(now, r)
+			}
 		}
 	}
 }
@@ -271,7 +281,7 @@
 	if reason == "" && len(t.orphans) > 0 {
 		reason = "runs of a former agent are ending"
 	}
-	capacity := t.announcement.Capacity
+	capacity := t.Announcement().Capacity
 	free := capacity.Sub(t.used).Sub(t.queue.needs)
 	return wire.WorkerLoad{
 		Open: reason == "", Closed: reason, Trial: t.health.onProbation,
@@ -282,9 +292,9 @@
 
 // WorkerInfo returns what the worker announced, for a report to an entry.
 func (t *Table) WorkerInfo() wire.WorkerInfo {
-	a := t.announcement
+	a := t.Announcement()
 	return wire.WorkerInfo{
-		Worker: a.ID, Life: a.StartedMillis, Service: a.Service, Labels: a.Labels,
+		Worker: a.ID, Life: t.life, Service: a.Service, Labels: a.Labels,
 		MilliCPU: a.Capacity.MilliCPU, MemoryMB: a.Capacity.MemoryMB, Accelerators: a.Capacity.Accelerators,
 	}
 }
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -70,6 +70,8 @@
 	// stopReason is why the run is to be stopped, or empty; withdrawn is set when no entry wants its result.
 	stopReason string
 	withdrawn  bool
+	// mayHaveRun is set if an earlier incarnation of the worker may have started the run.
+	mayHaveRun bool
 	// stopSentAt is when the last stop was sent, stopAnsweredAt when the first answer to a stop arrived.
 	stopSentAt, stopAnsweredAt time.Time
 }
@@ -104,14 +106,18 @@
 
 // Table holds the offered tasks and the runs of one worker.
 type Table struct {
-	config       Config
-	announcement Announcement
-	workerKnown  bool // the worker has announced itself
-	hasSnapshot  bool // a snapshot of the present incarnation of the worker was applied
+	config        Config
+	announcements announcements
+	announcement  *announced // of the incarnation that answers polls, or nil
+	incarnation   int64      // StartedMillis of the last snapshot
+	hasSnapshot   bool
+	// life is the number of the incarnation for entries. It is the time of its start, raised where needed so that it increases
+	// although the time of day can jump back.
+	life         int64
 	leaving      bool
 	unresponsive bool // the worker does not answer
-	// latestPollAt is when the poll was made whose snapshot was applied last.
-	latestPollAt time.Time
+	// latestPollAt is when the poll was made whose snapshot was applied last. snapshotAt is when the last snapshot arrived.
+	latestPollAt, snapshotAt time.Time
 
 	offers           map[offerKey]*run
 	queue            queue
@@ -138,7 +144,7 @@
 func NewTable(config Config) *Table {
 	return &Table{
 		config: config, offers: make(map[offerKey]*run), active: make(map[Ref]*run), awaited: make(map[Owner]int),
-		orphans: make(map[Ref]time.Time), highestAttempts: newAttemptTracker(), health: health{config: config},
+		orphans: make(map[Ref]time.Time), announcements: newAnnouncements(), highestAttempts: newAttemptTracker(), health: health{config: config},
 	}
 }
 
@@ -158,13 +164,22 @@
 // OnlyOrphansRunning reports whether there are runs on the worker, none of which belongs to an offer of this table.
 func (t *Table) OnlyOrphansRunning() bool { return len(t.orphans) > 0 && len(t.active) == 0 }
 
-// Announcement returns the last announcement of the worker.
-func (t *Table) Announcement() Announcement { return t.announcement }
+// Announcement returns the last announcement of the incarnation of the worker that answers polls; the zero value if it has not
+// announced itself.
+func (t *Table) Announcement() Announcement {
+	if t.announcement == nil {
+		return Announcement{}
+	}
+	return t.announcement.Announcement
+}
+
+// Incarnation returns the start of the incarnation that answers polls, in Unix milliseconds; 0 before the first snapshot.
+func (t *Table) Incarnation() int64 { return t.incarnation }
 
 // closedReason returns why no task may start, or an empty string.
 func (t *Table) closedReason() string {
 	switch {
-	case !t.workerKnown:
+	case t.announcement == nil:
 		return "the worker has not announced itself"
 	case t.leaving:
 		return "the agent is stopping"
@@ -174,6 +189,8 @@
 		return "the worker does not answer"
 	case !t.hasSnapshot:
 		return "the runs of the worker are not known yet"
+	case t.announcements.otherAnnouncedAfter(t.announcement, t.latestPollAt):
+		return "the worker may have restarted"
 	default:
 		return ""
 	}
@@ -185,31 +202,54 @@
 	t.returnWaiting(now, t.closedReason())
 }
 
-// SetWorker applies an announcement of the worker. It returns false for an announcement of an earlier incarnation or with a
-// lower sequence number, which it ignores.
+// SetWorker records an announcement of the worker. It returns whether the announcement is in force now: it is not if a later
+// one of its incarnation is known, or if another incarnation answers polls. In the second case it comes into force with the first
+// snapshot of its incarnation.
 func (t *Table) SetWorker(now time.Time, a Announcement) bool {
-	if t.workerKnown && (a.StartedMillis < t.announcement.StartedMillis ||
-		a.StartedMillis == t.announcement.StartedMillis && a.ID == t.announcement.ID && a.Sequence < t.announcement.Sequence) {
-		return false
-	}
-	if t.workerKnown && (a.StartedMillis != t.announcement.StartedMillis || a.ID != t.announcement.ID) {
-		t.resetForIncarnation(now, a.StartedMillis)
+	t.announcements.record(now, a, t.announcement)
+	t.applyAnnouncement(now)
+	return t.announcement != nil && t.announcement.ID == a.ID && t.announcement.StartedMillis == a.StartedMillis &&
+		t.announcement.Sequence == a.Sequence
+}
+
+// applyAnnouncement brings the announcement of the present incarnation into force. Until the first snapshot arrives, the
+// incarnation that started last stands for it.
+func (t *Table) applyAnnouncement(now time.Time) {
+	if t.hasSnapshot {
+		t.announcement = t.announcements.find(t.incarnation)
+	} else {
+		t.announcement = t.announcements.latest()
+		t.life = t.Announcement().StartedMillis
 	}
-	t.announcement, t.workerKnown = a, true
-	if a.Draining {
+	if t.announcement == nil || t.announcement.Draining {
 		t.returnWaiting(now, t.closedReason())
 	}
 	t.startWaiting(now)
-	return true
 }
 
-// resetForIncarnation ends all runs of the previous incarnation of the worker and clears what was learned about it.
-func (t *Table) resetForIncarnation(now time.Time, startedMillis int64) {
-	t.endActive(now, "the worker restarted")
+// replaceIncarnation records that another incarnation of the worker answers, from its first snapshot. The runs of the previous
+// incarnation have ended. Those that the snapshot lists were started on the new one, and those that were ordered after the
+// poll or have no answer yet may have been.
+func (t *Table) replaceIncarnation(now, polledAt time.Time, snapshot Snapshot) {
+	t.incarnation, t.life = snapshot.StartedMillis, max(snapshot.StartedMillis, t.life+1)
+	t.lastProcessedEnd, t.latestPollAt = 0, time.Time{}
 	t.orphans = make(map[Ref]time.Time)
-	t.announcement.StartedMillis, t.lastProcessedEnd, t.hasSnapshot = startedMillis, 0, false
 	t.learned, t.recent = learnedSlowdown{}, recentSlowdown{}
 	t.health = health{config: t.config}
+	listed := snapshot.refs()
+	for ref, r := range t.active {
+		switch {
+		case listed[ref]:
+		case r.state == starting:
+			r.mayHaveRun = true
+		case r.state == unconfirmed || !r.startedAt.Before(polledAt):
+			r.mayHaveRun, r.stopAnsweredAt = true, time.Time{} // only the new incarnation can tell whether it has the run
+			t.stopUnconfirmed(now, r)
+		default:
+			t.endOffer(now, r, wire.RunStopped, "the worker restarted")
+		}
+	}
+	t.applyAnnouncement(now)
 }
 
 // MarkUnresponsive records that the worker does not answer. Waiting tasks return to their entries; active runs are kept
@@ -265,7 +305,7 @@
 // queued before it. About half of the active runs end within meanRemaining, so freeing a share of the capacity takes twice
 // that share of it.
 func (t *Table) expectedWait(now time.Time, r *run) time.Duration {
-	capacity := t.announcement.Capacity.MilliCPU
+	capacity := t.Announcement().Capacity.MilliCPU
 	if capacity <= 0 {
 		return 0
 	}
@@ -412,6 +452,7 @@
 func (t *Table) startRun(now time.Time, r *run) {
 	r.ref.Attempt = t.highestAttempts.next(r.ref.Task, r.offer.Attempt)
 	r.state, r.startedAt, r.progressedAt, r.measuredAt, r.stopAnsweredAt, r.percent = starting, now, now, now, time.Time{}, 0
+	r.mayHaveRun = false
 	t.active[r.ref] = r
 	t.used = t.used.Add(r.needs)
 	t.commands = append(t.commands, Command{Ref: r.ref, Payload: r.offer.Payload})
--- a/internal/runs/table_test.go
+++ b/internal/runs/table_test.go
@@ -19,7 +19,9 @@
 
 // fakeWorker implements the worker's side of the protocol in memory.
 type fakeWorker struct {
+	id              string
 	startedMillis   int64
+	leaving         bool // this incarnation has announced its end
 	capacity        int64
 	running         map[runs.Ref]int64 // milliCPU of each run
 	highest         map[job.TaskID]uint32
@@ -32,7 +34,7 @@
 
 func newFakeWorker(startedMillis, capacity int64) *fakeWorker {
 	return &fakeWorker{
-		startedMillis: startedMillis, capacity: capacity, running: make(map[runs.Ref]int64), highest: make(map[job.TaskID]uint32),
+		id: "w", startedMillis: startedMillis, capacity: capacity, running: make(map[runs.Ref]int64), highest: make(map[job.TaskID]uint32),
 		everStarted: make(map[job.TaskID]bool),
 	}
 }
@@ -86,10 +88,19 @@
 // restart starts a new incarnation that has no runs and no record of earlier ones.
 func (w *fakeWorker) restart() {
 	w.startedMillis++
+	w.leaving = false
 	w.running, w.finished, w.lastEnd = make(map[runs.Ref]int64), nil, 0
 	w.highest = make(map[job.TaskID]uint32)
 }
 
+// announcementOf returns an announcement of the worker's present incarnation.
+func (w *fakeWorker) announcementOf(sequence uint64, draining bool) runs.Announcement {
+	return runs.Announcement{
+		ID: w.id, StartedMillis: w.startedMillis, Sequence: sequence, Service: "bench", Draining: draining,
+		Capacity: job.Resources{MilliCPU: w.capacity},
+	}
+}
+
 // simulation drives a table against a fakeWorker.
 type simulation struct {
 	t      *rapid.T
@@ -104,12 +115,16 @@
 	ends             map[uint64]wire.RunEnd
 	offers           map[uint64]job.TaskID
 	lastOffer        uint64
-	lastAnnouncement uint64
+	lastAnnouncement uint64 // sequence number of the last announcement of the incarnation
+	// announced holds all announcements of all incarnations, which can arrive again at any time.
+	announced []runs.Announcement
+	// firstStart and lastStart bound the start times of all incarnations.
+	firstStart, lastStart int64
 }
 
 func newSimulation(t *rapid.T) *simulation {
 	s := &simulation{
-		t: t, now: time.Unix(1000, 0), table: runs.NewTable(runs.DefaultConfig()), worker: newFakeWorker(1, 16),
+		t: t, now: time.Unix(1000, 0), table: runs.NewTable(runs.DefaultConfig()), worker: newFakeWorker(1, 16), firstStart: 1, lastStart: 1,
 		needs: make(map[job.TaskID]int64), ends: make(map[uint64]wire.RunEnd), offers: make(map[uint64]job.TaskID),
 	}
 	s.announce()
@@ -119,12 +134,45 @@
 
 func (s *simulation) announce() {
 	s.lastAnnouncement++
+	a := s.worker.announcementOf(s.lastAnnouncement, s.worker.leaving)
+	s.announced = append(s.announced, a)
+	s.table.SetWorker(s.now, a)
+}
+
+// repeatAnnouncement delivers an earlier announcement once more.
+func (s *simulation) repeatAnnouncement() {
+	s.table.SetWorker(s.now, rapid.SampledFrom(s.announced).Draw(s.t, "announcement"))
+}
+
+// announceForeign delivers an announcement that the worker did not send.
+func (s *simulation) announceForeign() {
 	s.table.SetWorker(s.now, runs.Announcement{
-		ID: "w", StartedMillis: s.worker.startedMillis, Sequence: s.lastAnnouncement, Service: "bench",
-		Capacity: job.Resources{MilliCPU: s.worker.capacity},
+		ID: "foreign", StartedMillis: rapid.Int64().Draw(s.t, "start"), Sequence: rapid.Uint64().Draw(s.t, "sequence"),
+		Service: "bench", Capacity: job.Resources{MilliCPU: 1000}, Draining: rapid.Bool().Draw(s.t, "draining"),
 	})
 }
 
+// restartWorker starts another incarnation, under the same id or another one. The time of day can have jumped back. Only under
+// another id can the capacity change, because a start that names the wrong id is refused.
+func (s *simulation) restartWorker() {
+	s.lateCommands = nil // the lease in the commands has expired for the new incarnation
+	s.worker.restart()
+	s.lastStart++
+	s.worker.startedMillis = s.lastStart
+	if rapid.Bool().Draw(s.t, "time of day jumped back") {
+		s.firstStart--
+		s.worker.startedMillis = s.firstStart
+	}
+	if rapid.Bool().Draw(s.t, "other id") {
+		s.worker.id = fmt.Sprint("w", s.worker.startedMillis)
+		s.worker.capacity = rapid.Int64Range(8, 16).Draw(s.t, "capacity")
+	}
+	s.lastAnnouncement = 0
+	if rapid.Bool().Draw(s.t, "announced at once") {
+		s.announce()
+	}
+}
+
 func (s *simulation) addOffer() {
 	s.lastOffer++
 	task := job.TaskID{Job: "j", Index: int(s.lastOffer)}
@@ -154,6 +202,9 @@
 }
 
 func (s *simulation) deliverCommand(command runs.Command) {
+	if !command.Stop && s.worker.leaving && s.table.Announcement().ID == s.worker.id {
+		s.t.Fatalf("task %v starts on a worker that has announced its end", command.Task)
+	}
 	switch rapid.SampledFrom([]string{"answered", "answered", "answered", "lost", "late"}).Draw(s.t, "answer") {
 	case "answered":
 		err := s.execute(command)
@@ -180,6 +231,9 @@
 		s.worker.stop(command.Ref)
 		return nil
 	}
+	if s.table.Announcement().ID != s.worker.id {
+		return runs.ErrWorkerRestarted
+	}
 	return s.worker.start(command.Ref, s.needs[command.Ref.Task])
 }
 
@@ -218,8 +272,10 @@
 }
 
 func (s *simulation) step() {
+	s.now = s.now.Add(time.Microsecond) // a poll is made before or after an event, not at the same time
 	switch rapid.SampledFrom([]string{
 		"offer", "offer", "offer", "poll", "poll", "end", "end", "fail", "withdraw", "late", "elapse", "restart", "drop", "arrive",
+		"announce", "repeat", "foreign", "leave",
 	}).Draw(s.t, "step") {
 	case "offer":
 		s.addOffer()
@@ -240,8 +296,15 @@
 	case "elapse":
 		s.elapse(rapid.SampledFrom([]time.Duration{5, 30, 70}).Draw(s.t, "ms") * time.Millisecond)
 	case "restart":
-		s.lateCommands = nil // the lease in the commands has expired for the new incarnation
-		s.worker.restart()
+		s.restartWorker()
+	case "announce":
+		s.announce()
+	case "repeat":
+		s.repeatAnnouncement()
+	case "foreign":
+		s.announceForeign()
+	case "leave":
+		s.worker.leaving = true
 		s.announce()
 	case "drop":
 		s.table.DropOwner(s.now, 1)
@@ -278,8 +341,9 @@
 	}
 }
 
-// Drives a table against a worker that loses answers, executes commands late and restarts. The worker must never be used
-// beyond its capacity, no task may have two runs at once, and each offer must get exactly one end, which must be true.
+// Drives a table against a worker that loses answers, executes commands late, restarts and leaves, and whose announcements
+// are late, repeated or not its own. The worker must never be used beyond its capacity nor after it has announced its end, no
+// task may have two runs at once, and each offer must get exactly one end, which must be true.
 func TestTableKeepsItsPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
@@ -350,25 +414,68 @@
 func TestWorkerThatRestartsAndLeavesGetsNoStarts(t *testing.T) {
 	g := gomega.NewWithT(t)
 	table, w, now := newTable(g, 10)
-	announce := func(sequence uint64, draining bool) {
-		table.SetWorker(now, runs.Announcement{
-			ID: "w", StartedMillis: w.startedMillis, Sequence: sequence, Service: "bench", Draining: draining,
-			Capacity: job.Resources{MilliCPU: w.capacity},
-		})
-	}
-	announce(9, false)
+	table.SetWorker(now, w.announcementOf(9, false))
 	table.HandleSnapshot(now, now, w.snapshot(0))
 	w.restart()
 	now = now.Add(time.Millisecond)
 	table.HandleSnapshot(now, now, w.snapshot(0))
-	announce(1, false)
-	announce(2, true)
+	table.SetWorker(now, w.announcementOf(1, false))
+	table.SetWorker(now, w.announcementOf(2, true))
 	table.AddOffer(now, 1, wire.Offer{Number: 1, Job: "a", Service: "bench", MilliCPU: 8, BudgetMillis: 10_000})
 	commands, _ := table.TakeOutput()
 	g.Expect(commands).To(gomega.BeEmpty())
 	g.Expect(table.Load(now).Open).To(gomega.BeFalse())
 }
 
+// Guards against a restarted worker that stays out of use because of what its previous incarnation has announced, or that is
+// used with the capacity of that one.
+func TestRestartedWorkerTakesWorkAfterItsOwnAnnouncement(t *testing.T) {
+	for _, restart := range []struct {
+		name  string
+		start int64
+	}{{"later start time", 2}, {"time of day jumped back", -5}} {
+		t.Run(restart.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			table, w, now := newTable(g, 10)
+			table.HandleSnapshot(now, now, w.snapshot(0))
+			table.SetWorker(now, w.announcementOf(9, true))
+			g.Expect(table.Load(now).Closed).To(gomega.Equal("the worker is draining"))
+			w.restart()
+			w.startedMillis, w.capacity = restart.start, 6
+			now = now.Add(time.Millisecond)
+			table.HandleSnapshot(now, now, w.snapshot(0))
+			g.Expect(table.Load(now).Closed).To(gomega.Equal("the worker has not announced itself"))
+			g.Expect(table.SetWorker(now, w.announcementOf(1, false))).To(gomega.BeTrue())
+			g.Expect(table.Load(now).Open).To(gomega.BeTrue())
+			g.Expect(table.Load(now).FreeMilliCPU).To(gomega.BeEquivalentTo(6))
+		})
+	}
+}
+
+// Guards against the report of an end of a run that goes on: it was started on the incarnation that the agent learns of only
+// from this snapshot.
+func TestRunOnARestartedWorkerIsNotReportedAsEnded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, w, now := newTable(g, 10)
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	offer := wire.Offer{Number: 1, Job: "lost", Service: "bench", MilliCPU: 4, BudgetMillis: 10_000}
+	table.AddOffer(now, 1, offer)
+	commands, _ := table.TakeOutput()
+	table.HandleStartResult(now, commands[0].Ref, w.start(commands[0].Ref, 4))
+	w.restart()
+	offer.Number, offer.Job = 2, "goes on"
+	table.AddOffer(now, 1, offer)
+	commands, _ = table.TakeOutput()
+	table.HandleStartResult(now, commands[0].Ref, w.start(commands[0].Ref, 4))
+	now = now.Add(time.Millisecond)
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	commands, events := table.TakeOutput()
+	g.Expect(commands).To(gomega.BeEmpty())
+	g.Expect(events).To(gomega.HaveLen(1))
+	g.Expect(events[0].End.Number).To(gomega.BeEquivalentTo(1))
+	g.Expect(events[0].End.Outcome).To(gomega.Equal(wire.RunStopped))
+}
+
 // Guards against work for a worker whose runs make no progress.
 func TestWorkerThatTakesNoWork(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -109,6 +109,18 @@
 	Finished      []Finished
 }
 
+// refs returns the runs that the snapshot lists, in progress or ended.
+func (s Snapshot) refs() map[Ref]bool {
+	listed := make(map[Ref]bool, len(s.Running)+len(s.Finished))
+	for _, r := range s.Running {
+		listed[r.Ref] = true
+	}
+	for _, f := range s.Finished {
+		listed[f.Ref] = true
+	}
+	return listed
+}
+
 // Announcement is the description that a worker sends of itself.
 type Announcement struct {
 	ID            string
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -160,25 +160,41 @@
 	defer close(e.applied)
 	before := c.table.Announcement()
 	if !c.table.SetWorker(now, e.announcement) {
-		c.agent.options.Metrics.AnnouncementsIgnored.Add(1)
-		c.log.WithFields(log.Fields{
-			"worker": e.announcement.ID, "born": e.announcement.StartedMillis, "sequence": e.announcement.Sequence,
-			"draining": e.announcement.Draining, "known_worker": before.ID, "known_born": before.StartedMillis,
-			"known_sequence": before.Sequence, "known_draining": before.Draining,
-		}).Warn("agent: outdated announcement of the worker ignored")
+		c.logAnnouncementNotInForce(e.announcement)
+	}
+	c.reportAnnouncement(before)
+}
+
+// logAnnouncementNotInForce logs an announcement that is outdated or belongs to another incarnation than the one that answers.
+func (c *control) logAnnouncementNotInForce(a runs.Announcement) {
+	known, message := c.table.Announcement(), "agent: outdated announcement of the worker ignored"
+	if known.ID != a.ID || known.StartedMillis != a.StartedMillis {
+		message = "agent: announcement of another incarnation than the one that answers"
+	}
+	c.agent.options.Metrics.AnnouncementsNotInForce.Add(1)
+	c.log.WithFields(log.Fields{
+		"worker": a.ID, "born": a.StartedMillis, "sequence": a.Sequence, "draining": a.Draining,
+		"known_worker": known.ID, "known_born": known.StartedMillis, "known_sequence": known.Sequence, "known_draining": known.Draining,
+	}).Info(message)
+}
+
+// reportAnnouncement logs a change of the announcement that is in force, and reports it to the entries.
+func (c *control) reportAnnouncement(before runs.Announcement) {
+	a := c.table.Announcement()
+	if before.ID == a.ID && before.StartedMillis == a.StartedMillis && before.Draining == a.Draining &&
+		before.Capacity == a.Capacity && before.Service == a.Service {
 		return
 	}
-	if before.ID != e.announcement.ID || before.StartedMillis != e.announcement.StartedMillis ||
-		before.Draining != e.announcement.Draining ||
-		before.Capacity != e.announcement.Capacity || before.Service != e.announcement.Service {
-		c.log.WithFields(log.Fields{
-			"worker": e.announcement.ID, "born": e.announcement.StartedMillis, "service": e.announcement.Service,
-			"draining": e.announcement.Draining, "milli_cpu": e.announcement.Capacity.MilliCPU, "sequence": e.announcement.Sequence,
-		}).Info("agent: worker announced itself")
-		c.loadDirty = true
-		for _, o := range c.owners {
-			o.infoPending = true
-		}
+	c.loadDirty = true
+	if a.ID == "" {
+		return // the incarnation that answers has not announced itself
+	}
+	c.log.WithFields(log.Fields{
+		"worker": a.ID, "born": a.StartedMillis, "service": a.Service, "draining": a.Draining,
+		"milli_cpu": a.Capacity.MilliCPU, "sequence": a.Sequence,
+	}).Info("agent: worker announced itself")
+	for _, o := range c.owners {
+		o.infoPending = true
 	}
 }
 
--- a/internal/workeragent/metrics.go
+++ b/internal/workeragent/metrics.go
@@ -17,9 +17,9 @@
 	Started, Done, Failed, Stopped, NotStarted expvar.Int
 	// StartsUnanswered counts starts without an answer, StartsRefused those that the worker refused.
 	StartsUnanswered, StartsRefused expvar.Int
-	// AnnouncementsIgnored counts announcements of the worker that were ignored as outdated, WorkerIncarnations the incarnations
+	// AnnouncementsNotInForce counts announcements that were outdated or of another incarnation than the one that answers, WorkerIncarnations the incarnations
 	// of the worker that have answered a poll.
-	AnnouncementsIgnored, WorkerIncarnations expvar.Int
+	AnnouncementsNotInForce, WorkerIncarnations expvar.Int
 	// RunMillis is the distribution of the run times of completed tasks, in milliseconds.
 	RunMillis *metrics.Histogram
 }
@@ -38,7 +38,7 @@
 	vars.Set("not_started", &m.NotStarted)
 	vars.Set("starts_unanswered", &m.StartsUnanswered)
 	vars.Set("starts_refused", &m.StartsRefused)
-	vars.Set("announcements_ignored", &m.AnnouncementsIgnored)
+	vars.Set("announcements_not_in_force", &m.AnnouncementsNotInForce)
 	vars.Set("worker_incarnations", &m.WorkerIncarnations)
 	vars.Set("run_ms", m.RunMillis)
 	return vars
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -52,7 +52,8 @@
 	workerClockAt time.Time
 	// leaseUntil is the latest time on the worker's clock to which a call has extended the lease of the runs.
 	leaseUntil    time.Duration
-	startedMillis int64     // start of the worker's incarnation in the last snapshot, in Unix milliseconds
+	incarnation   int64     // start of the worker's incarnation in the last snapshot, in Unix milliseconds
+	incarnationAt time.Time // when the first snapshot of this incarnation arrived
 	openPolls     int       // number of unanswered polls
 	lastPoll      uint64    // number of the last poll
 	lastPollOpen  bool      // the last poll has no answer yet
@@ -183,25 +184,35 @@
 		w.handlePollError(now, e.err)
 		return
 	}
+	before := c.table.Announcement()
+	if !c.table.HandleSnapshot(now, e.sent, e.snapshot) {
+		return // the answer of an earlier incarnation, which arrived late
+	}
 	if w.unresponsive {
 		c.log.Info("agent: the worker answers again")
 		c.loadDirty = true
 	}
 	w.unresponsive, w.leaseExpired, w.answeredAt = false, false, now
-	if w.startedMillis != e.snapshot.StartedMillis {
-		w.logNewIncarnation(e.snapshot)
-		w.startedMillis, w.leaseUntil = e.snapshot.StartedMillis, 0 // the worker's clock restarts with each incarnation
+	if w.incarnation != e.snapshot.StartedMillis {
+		w.logNewIncarnation(e.snapshot, before)
+		w.followIncarnation(now, e.snapshot)
 	}
 	w.recordClock(e.snapshot.Clock, now)
-	c.table.HandleSnapshot(now, e.sent, e.snapshot)
+	c.reportAnnouncement(before)
+}
+
+// followIncarnation begins to follow the clock of another incarnation of the worker. Calls with a lease on the clock of the
+// previous one may have reached this one, which shortens the lease to the longest that it grants.
+func (w *workerClient) followIncarnation(now time.Time, snapshot runs.Snapshot) {
+	w.incarnation, w.incarnationAt = snapshot.StartedMillis, now
+	w.leaseUntil = snapshot.Clock + max(w.control.agent.options.MaxLease, w.leaseDuration)
 }
 
-// logNewIncarnation logs that the worker answers as another incarnation, and which announcement is known at that time.
-func (w *workerClient) logNewIncarnation(snapshot runs.Snapshot) {
-	known := w.control.table.Announcement()
+// logNewIncarnation logs that the worker answers as another incarnation, and which announcement was in force until then.
+func (w *workerClient) logNewIncarnation(snapshot runs.Snapshot, known runs.Announcement) {
 	w.control.agent.options.Metrics.WorkerIncarnations.Add(1)
 	w.control.log.WithFields(log.Fields{
-		"born": snapshot.StartedMillis, "previous_born": w.startedMillis, "runs": len(snapshot.Running),
+		"born": snapshot.StartedMillis, "previous_born": w.incarnation, "runs": len(snapshot.Running),
 		"announced_worker": known.ID, "announced_born": known.StartedMillis, "announced_sequence": known.Sequence,
 		"announced_draining": known.Draining,
 	}).Info("agent: another incarnation of the worker answers")
@@ -234,7 +245,9 @@
 }
 
 func (e startAnswered) apply(c *control, now time.Time) {
-	c.worker.recordClock(e.clock, now)
+	if !e.sent.Before(c.worker.incarnationAt) { // an earlier call may have reached the previous incarnation, with another clock
+		c.worker.recordClock(e.clock, now)
+	}
 	if errors.Is(e.err, runs.ErrFenced) {
 		c.worker.raiseFence()
 	}
