Do not send the start of a task whose offer has ended

What callers could see: a task run twice at the same time. An agent applies all events that are queued and sends the resulting calls afterwards. If one of them ended an offer whose start was decided on in the same pass (the worker no longer listens, its lease has expired), the entry got the end, and the start was still sent. After a pause of the process many events are applied in one pass. Found by reading; no run has shown it.

TestStartOfAnEndedOfferIsNotSent failed before: the start was among the commands.

--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -148,10 +148,12 @@
 	}
 }
 
-// TakeOutput returns the commands and events that were collected since the last call, and clears them.
+// TakeOutput returns the commands and events that were collected since the last call, and clears them. It drops starts whose
+// offer has ended meanwhile.
 func (t *Table) TakeOutput() ([]Command, []RunEvent) {
 	commands, events := t.commands, t.events
 	t.commands, t.events = nil, nil
+	commands = slices.DeleteFunc(commands, func(c Command) bool { return !c.Stop && t.active[c.Ref] == nil })
 	return commands, events
 }
 
--- a/internal/runs/table_test.go
+++ b/internal/runs/table_test.go
@@ -476,6 +476,19 @@
 	g.Expect(events[0].End.Outcome).To(gomega.Equal(wire.RunStopped))
 }
 
+// Guards against the start of a task whose offer ended between the decision and the call, because events that arrived during a
+// pause of the process are applied together.
+func TestStartOfAnEndedOfferIsNotSent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, w, now := newTable(g, 10)
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	table.AddOffer(now, 1, wire.Offer{Number: 1, Job: "a", Service: "bench", MilliCPU: 8, BudgetMillis: 10_000})
+	table.HandleWorkerLost(now, "the worker does not listen")
+	commands, events := table.TakeOutput()
+	g.Expect(commands).To(gomega.BeEmpty())
+	g.Expect(events[len(events)-1].End).NotTo(gomega.BeNil())
+}
+
 // Guards against work for a worker whose runs make no progress.
 func TestWorkerThatTakesNoWork(t *testing.T) {
 	g := gomega.NewWithT(t)
