Give a worker that has announced its end no more work, and do not end its runs for that notice

What callers could see: a task offered to a worker that had left, after a poll that was still answered had opened it again; or a task run twice at the same time, because the agent reported all runs as ended when it got the notice of the end, although they go on until the worker ends, and longer if the notice is a delayed one of an earlier incarnation under the same id.

TestWorkerThatLeftIsNotUsedAgain fails on the previous behaviour, which ended the runs and opened the worker with the next poll.

--- a/internal/runs/announcements.go
+++ b/internal/runs/announcements.go
@@ -15,6 +15,7 @@
 // announced is what one incarnation has announced about itself.
 type announced struct {
 	Announcement
+	left     bool      // the worker has announced that it ends now
 	at       time.Time // when the last announcement arrived
 	lastUsed uint64    // order of the last announcement among those of all incarnations
 }
@@ -43,6 +44,9 @@
 	}
 	known.at, known.lastUsed = now, s.count
 	draining := known.Draining || a.Draining
+	if a.Sequence > known.Sequence {
+		known.left = false // the notice of the end was a delayed one of an earlier incarnation under this id
+	}
 	if a.Sequence >= known.Sequence {
 		known.Announcement = a
 	}
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -185,6 +185,8 @@
 		return "the worker has not announced itself"
 	case t.leaving:
 		return "the agent is stopping"
+	case t.announcement.left:
+		return "the worker has left"
 	case t.announcement.Draining:
 		return "the worker is draining"
 	case t.unresponsive:
@@ -223,12 +225,24 @@
 		t.announcement = t.announcements.latest()
 		t.life = t.Announcement().StartedMillis
 	}
-	if t.announcement == nil || t.announcement.Draining {
+	if t.announcement == nil || t.announcement.Draining || t.announcement.left {
 		t.returnWaiting(now, t.closedReason())
 	}
 	t.startWaiting(now)
 }
 
+// HandleWorkerLeft records that the worker with an id has announced that it ends now. Waiting tasks return to their entries;
+// the end of active runs shows when the worker no longer listens or their lease expires, because the notice can be a delayed
+// one of an earlier incarnation. It returns false if the worker has another id.
+func (t *Table) HandleWorkerLeft(now time.Time, id string) bool {
+	if t.announcement == nil || t.announcement.ID != id {
+		return false
+	}
+	t.announcement.left = true
+	t.returnWaiting(now, t.closedReason())
+	return true
+}
+
 // replaceIncarnation records that another incarnation of the worker answers, from its first snapshot. The runs of the previous
 // incarnation have ended. Those that the snapshot lists were started on the new one, and those that were ordered after the
 // poll or have no answer yet may have been.
--- a/internal/runs/table_test.go
+++ b/internal/runs/table_test.go
@@ -275,7 +275,7 @@
 	s.now = s.now.Add(time.Microsecond) // a poll is made before or after an event, not at the same time
 	switch rapid.SampledFrom([]string{
 		"offer", "offer", "offer", "poll", "poll", "end", "end", "fail", "withdraw", "late", "elapse", "restart", "drop", "arrive",
-		"announce", "repeat", "foreign", "leave",
+		"announce", "repeat", "foreign", "leave", "left",
 	}).Draw(s.t, "step") {
 	case "offer":
 		s.addOffer()
@@ -306,6 +306,8 @@
 	case "leave":
 		s.worker.leaving = true
 		s.announce()
+	case "left":
+		s.table.HandleWorkerLeft(s.now, s.worker.id)
 	case "drop":
 		s.table.DropOwner(s.now, 1)
 	case "arrive":
@@ -489,6 +491,27 @@
 	g.Expect(events[len(events)-1].End).NotTo(gomega.BeNil())
 }
 
+// Guards against work for a worker that has announced that it ends now and still answers a poll, and against the end of runs
+// because of such a notice alone, which can be a delayed one of an earlier incarnation.
+func TestWorkerThatLeftIsNotUsedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, w, now := newTable(g, 10)
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	table.AddOffer(now, 1, wire.Offer{Number: 1, Job: "a", Service: "bench", MilliCPU: 4, BudgetMillis: 10_000})
+	commands, _ := table.TakeOutput()
+	table.HandleStartResult(now, commands[0].Ref, w.start(commands[0].Ref, 4))
+	g.Expect(table.HandleWorkerLeft(now, "another")).To(gomega.BeFalse())
+	g.Expect(table.HandleWorkerLeft(now, w.id)).To(gomega.BeTrue())
+	now = now.Add(time.Millisecond)
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	table.SetWorker(now, w.announcementOf(1, false)) // the one before the notice
+	g.Expect(table.Load(now).Closed).To(gomega.Equal("the worker has left"))
+	_, events := table.TakeOutput()
+	g.Expect(events).To(gomega.BeEmpty(), "the run goes on")
+	table.SetWorker(now, w.announcementOf(2, false))
+	g.Expect(table.Load(now).Open).To(gomega.BeTrue(), "the notice was not that of this incarnation")
+}
+
 // Guards against work for a worker whose runs make no progress.
 func TestWorkerThatTakesNoWork(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// HandleWorkerDeparture records that the worker with an id has announced its end.
-func (a *Agent) HandleWorkerDeparture(id string) { a.post(workerDeparted{id: id}) }
+// HandleWorkerLeft records that the worker with an id has announced its end.
+func (a *Agent) HandleWorkerLeft(id string) { a.post(workerLeft{id: id}) }
 
 // AddEntries makes the agent dial further link addresses of entries.
 func (a *Agent) AddEntries(addresses []string) { a.post(addressesReceived{addresses: addresses}) }
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -198,12 +198,12 @@
 	}
 }
 
-func (e workerDeparted) apply(c *control, now time.Time) {
-	if e.id != c.table.Announcement().ID {
+func (e workerLeft) apply(c *control, now time.Time) {
+	if !c.table.HandleWorkerLeft(now, e.id) {
+		c.log.WithField("worker", e.id).Info("agent: notice of the end of another worker ignored")
 		return
 	}
-	c.log.WithField("worker", e.id).Info("agent: worker has ended, its runs count as stopped")
-	c.table.HandleWorkerLost(now, "the worker has ended")
+	c.log.WithField("worker", e.id).Info("agent: worker ends, it takes no more work")
 	c.loadDirty = true
 }
 
--- a/internal/workeragent/events.go
+++ b/internal/workeragent/events.go
@@ -19,8 +19,8 @@
 		announcement runs.Announcement
 		applied      chan<- struct{}
 	}
-	// workerDeparted means that the worker has announced its end.
-	workerDeparted struct{ id string }
+	// workerLeft means that the worker has announced its end.
+	workerLeft struct{ id string }
 	// linkUp is an established link; dialled is when its handshake began.
 	linkUp struct {
 		link    *link.Link
