Send a start to the worker for which it was decided

What callers could see: a worker used beyond its capacity. An agent decides on a start with the capacity of the announcement in force, but named the worker in the call only when it sent it. If announcements of two ids with the same start time were applied in one pass, the start could reach a worker with less room. The call now names the worker of the decision, so another one refuses it.

Found by TestTableKeepsItsPromises with -rapid.checks=60000 ('the worker is used beyond its capacity'), after announcements that are not the worker's own were added to it; 100,000 checks pass now. No run of the programs has shown it.

--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -94,6 +94,7 @@
 	Ref
 	Stop    bool
 	Payload string
+	Worker  string // id of the worker that a start is meant for; another one refuses it
 }
 
 // RunEvent is the start of a run or the end of an offer, for the entry that made the offer.
@@ -471,7 +472,7 @@
 	r.mayHaveRun = false
 	t.active[r.ref] = r
 	t.used = t.used.Add(r.needs)
-	t.commands = append(t.commands, Command{Ref: r.ref, Payload: r.offer.Payload})
+	t.commands = append(t.commands, Command{Ref: r.ref, Payload: r.offer.Payload, Worker: t.announcement.ID})
 	t.events = append(t.events, RunEvent{Owner: r.owner, StartedOffer: r.offer.Number, Task: r.ref.Task})
 }
 
--- a/internal/runs/table_test.go
+++ b/internal/runs/table_test.go
@@ -202,7 +202,7 @@
 }
 
 func (s *simulation) deliverCommand(command runs.Command) {
-	if !command.Stop && s.worker.leaving && s.table.Announcement().ID == s.worker.id {
+	if !command.Stop && s.worker.leaving && command.Worker == s.worker.id {
 		s.t.Fatalf("task %v starts on a worker that has announced its end", command.Task)
 	}
 	switch rapid.SampledFrom([]string{"answered", "answered", "answered", "lost", "late"}).Draw(s.t, "answer") {
@@ -231,7 +231,7 @@
 		s.worker.stop(command.Ref)
 		return nil
 	}
-	if s.table.Announcement().ID != s.worker.id {
+	if command.Worker != s.worker.id {
 		return runs.ErrWorkerRestarted
 	}
 	return s.worker.start(command.Ref, s.needs[command.Ref.Task])
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -105,11 +105,11 @@
 		return
 	}
 	start := runs.Start{Ref: command.Ref, Payload: command.Payload, LeaseUntil: w.extendLease(now), Fence: w.fence}
-	agent, worker := w.control.agent, w.control.table.Announcement().ID
+	agent := w.control.agent
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 		defer cancel()
-		clock, err := agent.options.Worker.Start(ctx, worker, start)
+		clock, err := agent.options.Worker.Start(ctx, command.Worker, start)
 		agent.post(startAnswered{ref: start.Ref, clock: clock, sent: now, err: err})
 	}()
 }
