Read keys in pages when the changes of a watch do not fit into one answer

What callers could see: an entry that no longer finds other entries and no longer notices that its own key is gone, until it is restarted. If other writers leave values that together exceed the 4 MiB that the client accepts, the watch failed with 'answer is too large: store is not available', and the follower asked for the same changes again and again. It now reads all keys again, in pages of at most 1 MB, as after a compaction. The stand-in of the store bounds its pages in bytes too, as the real one does.

--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -31,7 +31,8 @@
 }
 
 // Follow passes the keys below a prefix to OnChange until ctx ends. It reads all keys once and then watches for changes.
-// When the store has compacted the history that the watch needs, it reads all keys again.
+// When the store has compacted the history that the watch needs, or the changes are too large for one answer, it reads all keys
+// again, in pages.
 func Follow(ctx context.Context, o FollowOptions) {
 	f := &follower{FollowOptions: o, retryDelay: minRetryDelay}
 	for ctx.Err() == nil {
@@ -61,9 +62,9 @@
 		return f.readAll(ctx)
 	}
 	events, revision, err := f.Store.Watch(ctx, f.Prefix, f.revision, f.MaxWatchWait)
-	if errors.Is(err, ErrCompacted) {
-		f.Log.WithFields(log.Fields{"prefix": f.Prefix, "revision": f.revision}).
-			Info("store: history was compacted, reading all keys again")
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLarge) {
+		f.Log.WithFields(log.Fields{"prefix": f.Prefix, "revision": f.revision, "cause": err.Error()}).
+			Info("store: changes cannot be read one by one, reading all keys again")
 		f.items = nil
 		return nil
 	}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -21,6 +21,8 @@
 	ErrConflict = eris.New("key does not have the expected revision")
 	// ErrCompacted means that the store no longer has the history after the given revision.
 	ErrCompacted = eris.New("history was compacted by the store")
+	// ErrTooLarge means that an answer to a read is larger than the client accepts.
+	ErrTooLarge = eris.New("answer of the store is too large")
 	// ErrRejected means that the store does not accept the request itself.
 	ErrRejected = eris.New("store rejected the request")
 )
@@ -74,7 +76,8 @@
 	// Range returns one page of the keys below prefix that sort after the key after. An empty after returns the first page.
 	Range(ctx context.Context, prefix, after string) (Page, error)
 	// Watch returns the changes below prefix after the given revision as soon as there is one, or no events once wait is
-	// over, and the revision to continue from. It returns ErrCompacted when the store no longer has that history.
+	// over, and the revision to continue from. It returns ErrCompacted when the store no longer has that history, and
+	// ErrTooLarge when the changes do not fit into one answer.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
 	// Do carries out a transaction and returns its revision. It returns ErrConflict when a condition does not hold and
 	// ErrNotFound when a lease of a Put has ended.
--- a/internal/standin/kvstore/kvstore.go
+++ b/internal/standin/kvstore/kvstore.go
@@ -19,7 +19,9 @@
 var ErrListen = eris.New("stand-in store cannot listen")
 
 const (
+	// pageSize and pageBytes bound the items of a page and the size of their values.
 	pageSize           = 500
+	pageBytes          = 1 << 20
 	leaseCheckInterval = 20 * time.Millisecond
 	readHeaderTimeout  = 5 * time.Second
 )
@@ -212,10 +214,13 @@
 		}
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	more := len(found) > pageSize
-	if more {
-		found = found[:pageSize]
+	size, n := 0, 0
+	for n < len(found) && n < pageSize && (n == 0 || size+len(found[n].Value) <= pageBytes) {
+		size += len(found[n].Value)
+		n++
 	}
+	more := n < len(found)
+	found = found[:n]
 	return c.JSON(http.StatusOK, map[string]any{"items": found, "Truncated": more, "CurrentRev": s.revision})
 }
 
