Announce the close of a connection with each answer of a stopping entry

What callers saw: a request on a persistent connection ended with EOF and without an answer during a planned stop. Cause: the entry kept persistent connections open until it closed all of them at its end, and callers went on using them until then. While it stops, each answer now says that the connection is closed after it. Clients of the platform open a connection per request and were not affected.

A connection that stays idle for the whole stop (2.5 s) and is used in the moment of its end still fails; the caller knows then that the request was not answered, and submits it again.

--- a/internal/jobentry/serve.go
+++ b/internal/jobentry/serve.go
@@ -116,10 +116,28 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.requests.Add(1)
 		defer s.requests.Add(-1)
-		s.Handler.ServeHTTP(w, r)
+		s.Handler.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: &s.stopping}, r)
 	})
 }
 
+// closingWriter announces the close of the connection with each response of a stopping process, so that callers open their
+// next connection elsewhere and none sends a request while the process closes the connection.
+type closingWriter struct {
+	http.ResponseWriter
+	stopping *atomic.Bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	if w.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the wrapped writer, for http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // stop performs a planned stop. A load balancer that has no other entry nearby may send connections for longer than
 // balancerRotationTime; they are accepted as long as jobs are open and there is time to serve them.
 func (s *CallerServer) stop(server *http.Server, listener net.Listener) {
