--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -65,6 +65,7 @@
 	startTime     time.Time
 	server        *http.Server
 	stop          chan struct{}
+	closeOnce     sync.Once
 
 	mu                  sync.Mutex
 	changed             *sync.Cond // signals that a run has ended
@@ -118,8 +119,10 @@
 // StartedMillis returns the time at which this incarnation started, in Unix milliseconds.
 func (w *Worker) StartedMillis() int64 { return w.startedMillis }
 
-// Close stops the worker. All runs end without a result.
-func (w *Worker) Close() {
+// Close stops the worker. All runs end without a result. Further calls have no effect.
+func (w *Worker) Close() { w.closeOnce.Do(w.close) }
+
+func (w *Worker) close() {
 	close(w.stop)
 	_ = w.server.Close()
 	w.mu.Lock()
