End runs that a worker no longer lists

What callers could see: a task without an end until its deadline, and capacity of a worker that stays claimed for good. A poll names the last end that the agent has processed, and the worker forgets all ends up to it. A poll that was meant for the previous incarnation of a restarted worker makes the present one forget ends that nobody has seen; their runs were neither in progress nor ended for the agent, and stops were repeated for ever. More ends than one answer lists are no such case.

TestRunThatTheWorkerNoLongerListsEnds failed before. Entries get the number of an incarnation only after a poll has shown it, so that an announcement of another writer cannot raise it.

--- a/internal/runs/results.go
+++ b/internal/runs/results.go
@@ -34,7 +34,7 @@
 
 // markRunning records that a run has started, and stops it when a stop was requested meanwhile.
 func (t *Table) markRunning(now time.Time, r *run) {
-	r.state = running
+	r.state, r.confirmedAt = running, now
 	if r.stopReason != "" {
 		t.stopRun(now, r, r.stopReason)
 	}
@@ -81,7 +81,7 @@
 	switch {
 	case !t.hasSnapshot:
 		t.incarnation, t.hasSnapshot = snapshot.StartedMillis, true
-		t.life = max(t.life, t.incarnation)
+		t.life = t.incarnation
 		t.applyAnnouncement(now)
 	case snapshot.StartedMillis == t.incarnation:
 	case polledAt.Before(t.snapshotAt):
@@ -115,6 +115,9 @@
 		}
 	}
 	t.resolveStarts(now, polledAt, listed)
+	if len(snapshot.Finished) < maxListedEnds {
+		t.endUnlistedRuns(now, polledAt, listed)
+	}
 	t.health.recordSnapshot(now, progressed || len(snapshot.Finished) > 0, len(snapshot.Running))
 	t.startWaiting(now)
 	return true
@@ -209,6 +212,9 @@
 		}
 		return false
 	}
+	if r.confirmedAt.IsZero() {
+		r.confirmedAt = now
+	}
 	if r.state == starting {
 		t.markRunning(now, r) // the snapshot arrived before the answer to the start, or that answer was lost
 	}
@@ -242,6 +248,20 @@
 	}
 }
 
+// maxListedEnds is the number of ends that one snapshot lists at most. More than these may have ended.
+const maxListedEnds = 500
+
+// endUnlistedRuns ends the runs that were on the worker before a poll and that its snapshot lists neither in progress nor as
+// ended: they were lost with an incarnation of the worker, or their end was acknowledged to the present one by a poll that was
+// meant for the previous one.
+func (t *Table) endUnlistedRuns(now, polledAt time.Time, listed map[Ref]bool) {
+	for ref, r := range t.active {
+		if !listed[ref] && (r.state == running || r.state == stopping) && !polledAt.Before(r.confirmedAt) {
+			t.endOffer(now, r, wire.RunStopped, "the worker no longer lists the run")
+		}
+	}
+}
+
 // Advance performs the actions that are due: it repeats stops, stops stalled runs, and starts or expires waiting tasks.
 func (t *Table) Advance(now time.Time) {
 	for _, r := range t.active {
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -72,6 +72,8 @@
 	withdrawn  bool
 	// mayHaveRun is set if an earlier incarnation of the worker may have started the run.
 	mayHaveRun bool
+	// confirmedAt is when an answer to the start, or a snapshot, first showed the run on the worker.
+	confirmedAt time.Time
 	// stopSentAt is when the last stop was sent, stopAnsweredAt when the first answer to a stop arrived.
 	stopSentAt, stopAnsweredAt time.Time
 }
@@ -112,8 +114,8 @@
 	announcement  *announced // of the incarnation that answers polls, or nil
 	incarnation   int64      // StartedMillis of the last snapshot
 	hasSnapshot   bool
-	// life is the number of the incarnation for entries. It is the time of its start, raised where needed so that it increases
-	// although the time of day can jump back.
+	// life is the number of the incarnation for entries, 0 before the first snapshot. It is the time of its start, raised where
+	// needed so that it increases although the time of day can jump back.
 	life         int64
 	leaving      bool
 	unresponsive bool // the worker does not answer
@@ -176,9 +178,6 @@
 	return t.announcement.Announcement
 }
 
-// Incarnation returns the start of the incarnation that answers polls, in Unix milliseconds; 0 before the first snapshot.
-func (t *Table) Incarnation() int64 { return t.incarnation }
-
 // closedReason returns why no task may start, or an empty string.
 func (t *Table) closedReason() string {
 	switch {
@@ -224,7 +223,6 @@
 		t.announcement = t.announcements.find(t.incarnation)
 	} else {
 		t.announcement = t.announcements.latest()
-		t.life = t.Announcement().StartedMillis
 	}
 	if t.announcement == nil || t.announcement.Draining || t.announcement.left {
 		t.returnWaiting(now, t.closedReason())
@@ -469,7 +467,7 @@
 func (t *Table) startRun(now time.Time, r *run) {
 	r.ref.Attempt = t.highestAttempts.next(r.ref.Task, r.offer.Attempt)
 	r.state, r.startedAt, r.progressedAt, r.measuredAt, r.stopAnsweredAt, r.percent = starting, now, now, now, time.Time{}, 0
-	r.mayHaveRun = false
+	r.mayHaveRun, r.confirmedAt = false, time.Time{}
 	t.active[r.ref] = r
 	t.used = t.used.Add(r.needs)
 	t.commands = append(t.commands, Command{Ref: r.ref, Payload: r.offer.Payload, Worker: t.announcement.ID})
--- a/internal/runs/table_test.go
+++ b/internal/runs/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,11 +78,8 @@
 	for ref := range w.running {
 		s.Running = append(s.Running, runs.Running{Ref: ref, Percent: 1})
 	}
-	for _, f := range w.finished {
-		if f.Number > acknowledgedEnd {
-			s.Finished = append(s.Finished, f)
-		}
-	}
+	w.finished = slices.DeleteFunc(w.finished, func(f runs.Finished) bool { return f.Number <= acknowledgedEnd })
+	s.Finished = slices.Clone(w.finished)
 	return s
 }
 
@@ -512,6 +510,29 @@
 	g.Expect(table.Load(now).Open).To(gomega.BeTrue(), "the notice was not that of this incarnation")
 }
 
+// Guards against a run that counts for ever: its end was forgotten by a restarted worker, because a poll that was meant for the
+// previous incarnation acknowledged it.
+func TestRunThatTheWorkerNoLongerListsEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, w, now := newTable(g, 10)
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	w.restart()
+	table.AddOffer(now, 1, wire.Offer{Number: 1, Job: "a", Service: "bench", MilliCPU: 4, BudgetMillis: 10_000})
+	commands, _ := table.TakeOutput()
+	table.HandleStartResult(now, commands[0].Ref, w.start(commands[0].Ref, 4))
+	now = now.Add(time.Millisecond)
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	w.end(commands[0].Ref, runs.EndDone)
+	const previousEnds = 7
+	w.snapshot(previousEnds) // for a poll that was made before the restart was known
+	now = now.Add(time.Millisecond)
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	_, events := table.TakeOutput()
+	g.Expect(events).To(gomega.HaveLen(1))
+	g.Expect(events[0].End.Outcome).To(gomega.Equal(wire.RunStopped))
+	g.Expect(table.Idle()).To(gomega.BeTrue())
+}
+
 // Guards against work for a worker whose runs make no progress.
 func TestWorkerThatTakesNoWork(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -193,6 +193,11 @@
 		"worker": a.ID, "born": a.StartedMillis, "service": a.Service, "draining": a.Draining,
 		"milli_cpu": a.Capacity.MilliCPU, "sequence": a.Sequence,
 	}).Info("agent: worker announced itself")
+	c.reportWorkerInfo()
+}
+
+// reportWorkerInfo adds what the worker announced to the next report to each entry.
+func (c *control) reportWorkerInfo() {
 	for _, o := range c.owners {
 		o.infoPending = true
 	}
--- a/internal/workeragent/metrics.go
+++ b/internal/workeragent/metrics.go
@@ -17,8 +17,8 @@
 	Started, Done, Failed, Stopped, NotStarted expvar.Int
 	// StartsUnanswered counts starts without an answer, StartsRefused those that the worker refused.
 	StartsUnanswered, StartsRefused expvar.Int
-	// AnnouncementsNotInForce counts announcements that were outdated or of another incarnation than the one that answers, WorkerIncarnations the incarnations
-	// of the worker that have answered a poll.
+	// AnnouncementsNotInForce counts announcements that were outdated or of another incarnation than the one that answers,
+	// WorkerIncarnations the incarnations of the worker that have answered a poll.
 	AnnouncementsNotInForce, WorkerIncarnations expvar.Int
 	// RunMillis is the distribution of the run times of completed tasks, in milliseconds.
 	RunMillis *metrics.Histogram
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -196,6 +196,7 @@
 	if w.incarnation != e.snapshot.StartedMillis {
 		w.logNewIncarnation(e.snapshot, before)
 		w.followIncarnation(now, e.snapshot)
+		c.reportWorkerInfo()
 	}
 	w.recordClock(e.snapshot.Clock, now)
 	c.reportAnnouncement(before)
