--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -158,6 +158,13 @@
 	}
 }
 
+// IsLeaving reports whether an agent has acknowledged that the worker leaves.
+func (w *Worker) IsLeaving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.leavingSince.IsZero()
+}
+
 // Calls returns the number of calls that the worker has received.
 func (w *Worker) Calls() int {
 	w.mu.Lock()
@@ -315,7 +322,7 @@
 	w.highestAttempts[p.Task] = p.Attempt
 	w.runs[p.Task] = &run{task: p.Task, attempt: p.Attempt, lastAdvanced: time.Now()}
 	w.options.Ledger.recordStart(p.Task, w)
-	if after := time.Since(w.leavingSince); !w.leavingSince.IsZero() && !p.late && after > w.options.LeavingGrace {
+	if after := time.Since(w.leavingSince); !w.leavingSince.IsZero() && after > w.options.LeavingGrace && !p.late {
 		w.options.Ledger.recordViolation(fmt.Sprintf("worker %s starts task %s %s after its end was acknowledged",
 			w.id, p.Task, after.Round(time.Millisecond)))
 	}
