Stand-in worker: execute nothing after the close

The closed stand-in had executed the call, which was waiting for its lock, or would have been executed late, after all its runs had ended, and the ledger took that for a run. A crashed worker runs nothing, so a closed stand-in now executes no call. The check of the ledger is unchanged.

TestClosedWorkerStartsNothing failed before: one start after the close.

--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -66,6 +66,7 @@
 	server        *http.Server
 	stop          chan struct{}
 	closeOnce     sync.Once
+	closed        bool // calls that the worker has not begun to execute have no effect any more
 
 	mu                  sync.Mutex
 	changed             *sync.Cond // signals that a run has ended
@@ -127,6 +128,7 @@
 	_ = w.server.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.closed = true
 	for _, r := range w.runs {
 		w.options.Ledger.recordEnd(r.task, w, false)
 	}
@@ -242,6 +244,10 @@
 	roll := rand.Float64()
 	faults := w.faults
 	w.calls++
+	if w.closed {
+		w.mu.Unlock()
+		return withholdAnswer(c)
+	}
 	if rand.Float64() < faults.Error {
 		w.mu.Unlock()
 		return c.NoContent(http.StatusInternalServerError)
@@ -258,6 +264,9 @@
 	time.AfterFunc(minLateDelay+rand.N(maxLateDelay-minLateDelay), func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		if w.closed {
+			return
+		}
 		p.late = true
 		execute(p)
 	})
