Compute the longest chains of dependent steps in one pass

What callers saw: after one job of 32 small steps, each of which waits for all earlier ones, the entry answered no request any more. The caller submitted the job again at the next entry, until none was left. All entries stayed ready.

Cause: criticalPathFrom visited every path through the steps, 2^(n-2) of them for n such steps, in the control goroutine, on arrival and again for each task that became ready.

Ruled out: size, load and links. The same tasks in a chain of single dependencies are all served.

Why this works: a step depends only on earlier ones, so a pass from the last step to the first knows the chains of all later steps when it needs them, and visits each dependency once.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
@@ -98,8 +99,10 @@
 
 	tasks     []*task
 	remaining []int // number of unfinished tasks of each step
-	openTasks int
-	answered  bool
+	// chainTimes is, for each step, the estimated run time of the longest chain of dependent steps that starts with it.
+	chainTimes []time.Duration
+	openTasks  int
+	answered   bool
 	// firstSubmitted is when the caller first submitted the job, as estimated by earlierWait.
 	firstSubmitted time.Time
 	// objective is the time from the first submission within which the job should be done.
@@ -204,7 +207,8 @@
 	}
 	j.openTasks = len(j.tasks)
 	j.firstSubmitted = j.Arrived.Add(-s.shortWaits.earlierWait(j))
-	j.objective = time.Duration(j.Queue.ObjectiveFactor*float64(j.criticalPath())) + j.Queue.ObjectiveExtra
+	j.chainTimes = chainTimes(j.Spec.Steps)
+	j.objective = time.Duration(j.Queue.ObjectiveFactor*float64(slices.Max(j.chainTimes))) + j.Queue.ObjectiveExtra
 	s.backlog.recordJob(now, j)
 	s.enqueueReadyTasks(j)
 	if !s.refuseUnfit(now, j) {
@@ -242,7 +246,7 @@
 
 // latestStart returns when a task should start so that the job meets its objective on workers of ordinary speed.
 func (j *Job) latestStart(t *task) time.Time {
-	return j.firstSubmitted.Add(j.objective - answerMargin - j.criticalPathFrom(t.stepIndex))
+	return j.firstSubmitted.Add(j.objective - answerMargin - j.chainTimes[t.stepIndex])
 }
 
 // answerMargin is reserved for the transfer of the last task's end to the entry and of the answer to the caller.
@@ -254,26 +258,17 @@
 // lateWindow returns the time after the objective within which a late answer is still useful.
 func (j *Job) lateWindow() time.Duration { return (lateFactor - 1) * j.objective }
 
-// criticalPath returns the estimated run time of the longest chain of dependent steps.
-func (j *Job) criticalPath() time.Duration {
-	longest := time.Duration(0)
-	for i := range j.Spec.Steps {
-		longest = max(longest, j.criticalPathFrom(i))
-	}
-	return longest
-}
-
-// criticalPathFrom returns the estimated run time of the longest chain that starts with a step.
-func (j *Job) criticalPathFrom(step int) time.Duration {
-	longest := time.Duration(0)
-	for i := step + 1; i < len(j.Spec.Steps); i++ {
-		for _, dependency := range j.Spec.Steps[i].After {
-			if dependency == step {
-				longest = max(longest, j.criticalPathFrom(i))
-			}
+// chainTimes returns, for each step, the estimated run time of the longest chain of dependent steps that starts with it. A step
+// depends only on earlier ones, so one pass from the last step to the first sees each dependency once.
+func chainTimes(steps []job.Step) []time.Duration {
+	times := make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= 0; i-- {
+		times[i] += steps[i].Estimate
+		for _, dependency := range steps[i].After {
+			times[dependency] = max(times[dependency], times[i])
 		}
 	}
-	return longest + j.Spec.Steps[step].Estimate
+	return times
 }
 
 // Cancel ends a job whose caller has disconnected, without an answer.
