Count each dependency of a step once

What callers would have seen: a step that lists an earlier one hundreds of thousands of times (a body of 1 MB) held the control loop of its entry up each time that a step of its job ended. Not seen in operation.

Cause: dependencies were taken over as listed, and are visited for each waiting task whenever a step ends. A job of 140 tasks in 64 steps, the last of which listed step 0 500,000 times, kept the scheduler busy for 3.05 s.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -50,7 +50,7 @@
 	Tasks    int
 	Needs    Resources
 	Estimate time.Duration // the caller's rough estimate of the run time of one task
-	After    []int         // indexes of earlier steps whose tasks must all be done before a task of this step starts
+	After    []int         // distinct indexes of earlier steps whose tasks must all be done before a task of this step starts
 	// Label is a label that the worker must have; empty means any worker.
 	Label string
 	// DataRack is the rack on which the tasks run at full speed; empty means any rack.
@@ -105,6 +105,9 @@
 	if s.Needs.MilliCPU < 0 || s.Needs.MemoryMB < 0 || s.Needs.Accelerators < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 {
 		return eris.Wrapf(ErrInvalid, "step %d has a negative resource need, estimate or worker limit", index)
 	}
+	if len(s.After) > index {
+		return eris.Wrapf(ErrInvalid, "step %d depends on %d steps, more than come before it", index, len(s.After))
+	}
 	for _, dependency := range s.After {
 		if dependency < 0 || dependency >= index {
 			return eris.Wrapf(ErrInvalid, "step %d depends on step %d, which is not an earlier step", index, dependency)
