Report an entry as not ready while its control loop hangs

Cause: Ready reads figures that only the control goroutine updates. While that hangs, they keep the values of a healthy entry.

Change: an entry whose control loop has not ticked for 0.5 s is not ready. A process that was paused is ready again with its next tick; the load balancer takes an entry out after two missed checks, 1 s apart.

Evidence: TestHungEntryIsNotReady failed before the change and passes now.

--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -170,9 +170,9 @@
 func (e *Entry) SetSeeds(addresses []string) { go e.post(seedsRead{addresses: addresses}) }
 
 // Ready reports whether the entry can serve more jobs: it has a configuration, at least one linked worker takes tasks, and
-// the entry is not overloaded.
+// the entry is neither overloaded nor hung.
 func (e *Entry) Ready() bool {
-	return e.Catalog() != nil && e.availableAgents.Load() > 0 && !e.overload.busy.Load()
+	return e.Catalog() != nil && e.availableAgents.Load() > 0 && !e.overload.busy.Load() && !e.overload.isHung(e.Now())
 }
 
 // Submission is a job together with the properties of the request that carried it.
--- a/internal/jobentry/overload.go
+++ b/internal/jobentry/overload.go
@@ -20,6 +20,9 @@
 	// recoveryTime is how long the lag must stay below recoveredLag until the entry is ready for new connections again. The
 	// load balancer checks once per second.
 	recoveryTime = 2 * time.Second
+	// maxTickAge is the age of the last tick from which the control loop counts as hung. It is shorter than the interval at which
+	// the load balancer checks, and longer than the pause of a process whose CPU quota is used up.
+	maxTickAge = 500 * time.Millisecond
 	// acceptPollInterval is the interval at which pausableListener checks whether it may accept connections again.
 	acceptPollInterval = 2 * time.Millisecond
 )
@@ -27,7 +30,7 @@
 // overload tracks the lag of the control loop. Only the control goroutine calls recordTick; the atomic fields are read by
 // others too.
 type overload struct {
-	lastTick    time.Time
+	lastTick    atomic.Int64 // Unix nanoseconds, 0 before the first tick
 	meanLag     time.Duration
 	lastLagging time.Time // when the mean lag was last above recoveredLag
 	// acceptPaused stops accepting connections; busy makes the entry not ready, so that the load balancer sends connections
@@ -39,10 +42,9 @@
 // has changed.
 func (o *overload) recordTick(now time.Time) (changed bool) {
 	lag := time.Duration(0)
-	if !o.lastTick.IsZero() {
-		lag = min(max(now.Sub(o.lastTick)-tickInterval, 0), maxTickLag)
+	if last := o.lastTick.Swap(now.UnixNano()); last != 0 {
+		lag = min(max(now.Sub(time.Unix(0, last))-tickInterval, 0), maxTickLag)
 	}
-	o.lastTick = now
 	o.meanLag += time.Duration(lagWeight * float64(lag-o.meanLag))
 	o.acceptPaused.Store(o.meanLag > maxAcceptLag)
 	if o.meanLag > recoveredLag {
@@ -52,6 +54,12 @@
 	return o.busy.Swap(busy) != busy
 }
 
+// isHung reports whether the control loop has not ticked for maxTickAge. While it hangs, busy keeps its last value.
+func (o *overload) isHung(now time.Time) bool {
+	last := o.lastTick.Load()
+	return last != 0 && now.Sub(time.Unix(0, last)) >= maxTickAge
+}
+
 // pausableListener is a listener that accepts no connection while paused returns true.
 type pausableListener struct {
 	net.Listener
--- a/internal/jobentry/overload_test.go
+++ b/internal/jobentry/overload_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
+	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 )
 
 // Guards against an entry that accepts more connections than its CPU can serve: it serves its links too late, loses them,
@@ -32,3 +35,21 @@
 	ticks(125, tickInterval)
 	g.Expect(o.busy.Load()).To(gomega.BeFalse())
 }
+
+// Guards against an entry whose control loop hangs and that stays ready: the load balancer would go on to send it connections,
+// none of which it serves.
+func TestHungEntryIsNotReady(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := clock.NewFake(time.Unix(1000, 0))
+	e := &Entry{options: Options{Clock: now}}
+	e.catalog.Store(&catalog.Catalog{})
+	e.availableAgents.Store(1)
+	e.overload.recordTick(now.Now())
+	g.Expect(e.Ready()).To(gomega.BeTrue())
+	now.Advance(200 * time.Millisecond)
+	g.Expect(e.Ready()).To(gomega.BeTrue(), "a pause of the process is no hang")
+	now.Advance(300 * time.Millisecond)
+	g.Expect(e.Ready()).To(gomega.BeFalse())
+	e.overload.recordTick(now.Now())
+	g.Expect(e.Ready()).To(gomega.BeTrue())
+}
