Log how many stops a run took, and count stops without an answer

The logs could not tell why a task of review/3 ran twice: whether the stops of its first run were late, lost or refused, or whether a start that was carried out late began another run. "agent: offer ended" now has the number of stops and the time from the first of them to the end; the metric stops_unanswered counts stops without an answer.

--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -74,8 +74,10 @@
 	mayHaveRun bool
 	// confirmedAt is when an answer to the start, or a snapshot, first showed the run on the worker.
 	confirmedAt time.Time
-	// stopSentAt is when the last stop was sent, stopAnsweredAt when the first answer to a stop arrived.
-	stopSentAt, stopAnsweredAt time.Time
+	// firstStopAt and stopSentAt are when the first and the last of the stops was sent, stopAnsweredAt when the first answer to
+	// one arrived.
+	firstStopAt, stopSentAt, stopAnsweredAt time.Time
+	stopsSent                               int
 }
 
 // tierAt returns the urgency tier of a waiting task: 0 while it can still meet its objective, 1 while a late result is still
@@ -105,6 +107,9 @@
 	End          *wire.RunEnd
 	StartedOffer uint64     // number of the offer whose run was sent to the worker; 0 if End is set
 	Task         job.TaskID // for logs
+	// StopsSent is the number of stops that an ended run took, StoppingFor the time from the first of them to the end.
+	StopsSent   int
+	StoppingFor time.Duration
 }
 
 // Table holds the offered tasks and the runs of one worker.
@@ -404,6 +409,10 @@
 }
 
 func (t *Table) sendStop(now time.Time, r *run) {
+	if r.stopsSent == 0 {
+		r.firstStopAt = now
+	}
+	r.stopsSent++
 	r.stopSentAt = now
 	t.commands = append(t.commands, Command{Ref: r.ref, Stop: true})
 }
@@ -421,7 +430,11 @@
 		end.Attempt = r.ref.Attempt
 		end.DurationMicros = now.Sub(r.startedAt).Microseconds()
 	}
-	t.events = append(t.events, RunEvent{Owner: r.owner, End: end, Task: r.ref.Task})
+	event := RunEvent{Owner: r.owner, End: end, Task: r.ref.Task, StopsSent: r.stopsSent}
+	if r.stopsSent > 0 {
+		event.StoppingFor = now.Sub(r.firstStopAt)
+	}
+	t.events = append(t.events, event)
 }
 
 // returnWaiting returns all waiting tasks to their entries.
@@ -467,7 +480,7 @@
 func (t *Table) startRun(now time.Time, r *run) {
 	r.ref.Attempt = t.highestAttempts.next(r.ref.Task, r.offer.Attempt)
 	r.state, r.startedAt, r.progressedAt, r.measuredAt, r.stopAnsweredAt, r.percent = starting, now, now, now, time.Time{}, 0
-	r.mayHaveRun, r.confirmedAt = false, time.Time{}
+	r.mayHaveRun, r.confirmedAt, r.stopsSent = false, time.Time{}, 0
 	t.active[r.ref] = r
 	t.used = t.used.Add(r.needs)
 	t.commands = append(t.commands, Command{Ref: r.ref, Payload: r.offer.Payload, Worker: t.announcement.ID})
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -137,7 +137,7 @@
 	c.log.WithFields(log.Fields{
 		"job": event.Task.Job, "step": event.Task.Step, "task": event.Task.Index, "attempt": event.End.Attempt, "offer": event.End.Number,
 		"outcome": outcomeName(event.End.Outcome), "reason": event.End.Reason, "run_ms": event.End.DurationMicros / 1000,
-		"worker": c.table.Announcement().ID,
+		"worker": c.table.Announcement().ID, "stops": event.StopsSent, "stopping_ms": event.StoppingFor.Milliseconds(),
 	}).Info("agent: offer ended")
 }
 
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -265,6 +265,8 @@
 func (e stopAnswered) apply(c *control, now time.Time) {
 	if errors.Is(e.err, runs.ErrFenced) {
 		c.worker.raiseFence()
+	} else if e.err != nil {
+		c.agent.options.Metrics.StopsUnanswered.Add(1)
 	}
 	c.table.HandleStopResult(now, e.ref, e.err)
 }
