End the runs of a lost entry by the lease if stops have no effect

What callers saw: a task ran on two workers at the same time. It happened when agents lost the contact to their entries while workers left half of their orders unanswered and carried them out seconds later.

Cause: an entry starts the tasks of a lost agent elsewhere 900 ms after the last contact, because the lease of the worker ends then at the latest. A live agent ended such runs by stops alone and went on to renew the lease. When every stop was lost, the first run went on.

Ruled out: a start that is carried out late (the record shows one start, answered at once), a wait that the entry counts from the wrong moment (the second start came 0.9 s after the last message), and an agent that notices the loss late (the first stop came 0.4 s after the last echoed message).

Either a stop has effect, and the lease is renewed as before, or the worker ends all runs in time.

--- a/internal/runs/results.go
+++ b/internal/runs/results.go
@@ -52,14 +52,13 @@
 func (t *Table) requeue(now time.Time, r *run) {
 	reason := r.stopReason
 	if reason == "" {
-		reason = t.closedReason()
+		reason = t.closedReason(now)
 	}
 	if reason != "" {
 		t.endOffer(now, r, wire.RunNotStarted, reason)
 		return
 	}
-	delete(t.active, r.ref)
-	t.used = t.used.Sub(r.needs)
+	t.removeActive(r)
 	r.state = waiting
 	t.queue.push(r)
 }
@@ -278,6 +277,9 @@
 	if t.health.stalled(len(t.active)) {
 		t.stopStalled(now)
 	}
+	if t.LeaseRunsOut(now) {
+		t.returnWaiting(now, t.closedReason(now))
+	}
 	t.startWaiting(now)
 }
 
@@ -294,7 +296,7 @@
 
 // Load returns the load of the worker for a report to an entry.
 func (t *Table) Load(now time.Time) wire.WorkerLoad {
-	reason := t.closedReason()
+	reason := t.closedReason(now)
 	if reason == "" && !t.health.admits(now, len(t.active)+t.queue.Len()) {
 		reason = "the worker is on trial"
 	}
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -130,6 +130,7 @@
 	offers           map[offerKey]*run
 	queue            queue
 	active           map[Ref]*run
+	endsBy           map[Ref]time.Time // for each active run that has to end, by when; see requireEnd
 	awaited          map[Owner]int     // number of open offers of each entry that it has not withdrawn
 	orphans          map[Ref]time.Time // runs on the worker that no offer here belongs to, with the time of the last stop
 	used             job.Resources
@@ -151,7 +152,7 @@
 // NewTable returns an empty table. Nothing starts until the worker has announced itself and a snapshot was applied.
 func NewTable(config Config) *Table {
 	return &Table{
-		config: config, offers: make(map[offerKey]*run), active: make(map[Ref]*run), awaited: make(map[Owner]int),
+		config: config, offers: make(map[offerKey]*run), active: make(map[Ref]*run), endsBy: make(map[Ref]time.Time), awaited: make(map[Owner]int),
 		orphans: make(map[Ref]time.Time), announcements: newAnnouncements(), highestAttempts: newAttemptTracker(), health: health{config: config},
 	}
 }
@@ -184,7 +185,7 @@
 }
 
 // closedReason returns why no task may start, or an empty string.
-func (t *Table) closedReason() string {
+func (t *Table) closedReason(now time.Time) string {
 	switch {
 	case t.announcement == nil:
 		return "the worker has not announced itself"
@@ -200,6 +201,8 @@
 		return "the runs of the worker are not known yet"
 	case t.announcements.otherAnnouncedAfter(t.announcement, t.latestPollAt):
 		return "the worker may have restarted"
+	case t.LeaseRunsOut(now):
+		return "the lease runs out, because a run does not end"
 	default:
 		return ""
 	}
@@ -208,7 +211,7 @@
 // StopAccepting refuses all further work and returns the waiting tasks; active runs continue.
 func (t *Table) StopAccepting(now time.Time) {
 	t.leaving = true
-	t.returnWaiting(now, t.closedReason())
+	t.returnWaiting(now, t.closedReason(now))
 }
 
 // SetWorker records an announcement of the worker. It returns whether the announcement is in force now: it is not if a later
@@ -230,7 +233,7 @@
 		t.announcement = t.announcements.latest()
 	}
 	if t.announcement == nil || t.announcement.Draining || t.announcement.left {
-		t.returnWaiting(now, t.closedReason())
+		t.returnWaiting(now, t.closedReason(now))
 	}
 	t.startWaiting(now)
 }
@@ -243,7 +246,7 @@
 		return false
 	}
 	t.announcement.left = true
-	t.returnWaiting(now, t.closedReason())
+	t.returnWaiting(now, t.closedReason(now))
 	return true
 }
 
@@ -276,14 +279,14 @@
 // until HandleWorkerLost.
 func (t *Table) MarkUnresponsive(now time.Time) {
 	t.unresponsive = true
-	t.returnWaiting(now, t.closedReason())
+	t.returnWaiting(now, t.closedReason(now))
 }
 
 // HandleWorkerLost ends all runs. It is called when the lease of the worker has expired or its process has ended.
 func (t *Table) HandleWorkerLost(now time.Time, reason string) {
 	t.unresponsive = true
 	t.endActive(now, reason)
-	t.returnWaiting(now, t.closedReason())
+	t.returnWaiting(now, t.closedReason(now))
 }
 
 // endActive reports every run that was sent to the worker as stopped.
@@ -343,8 +346,8 @@
 
 func (t *Table) refusalReason(now time.Time, r *run) string {
 	switch {
-	case t.closedReason() != "":
-		return t.closedReason()
+	case t.closedReason(now) != "":
+		return t.closedReason(now)
 	case r.offer.Service != t.announcement.Service:
 		return "the worker belongs to another service"
 	case !r.needs.FitsIn(t.announcement.Capacity):
@@ -363,10 +366,11 @@
 	}
 }
 
-// DropOwner ends all offers of an entry that is gone.
-func (t *Table) DropOwner(now time.Time, owner Owner) {
+// DropOwner ends all offers of an entry that is gone. From endsBy on, the entry takes their runs as ended.
+func (t *Table) DropOwner(now time.Time, owner Owner, endsBy time.Time) {
 	for key, r := range t.offers {
 		if key.owner == owner {
+			t.requireEnd(r, endsBy)
 			t.cancelRun(now, r, "the entry is gone")
 		}
 	}
@@ -419,10 +423,7 @@
 
 // endOffer reports the end of an offer and frees the resources of its run.
 func (t *Table) endOffer(now time.Time, r *run, outcome wire.RunOutcome, reason string) {
-	if t.active[r.ref] == r {
-		delete(t.active, r.ref)
-		t.used = t.used.Sub(r.needs)
-	}
+	t.removeActive(r)
 	delete(t.offers, offerKey{r.owner, r.offer.Number})
 	t.stopAwaiting(r)
 	end := &wire.RunEnd{Number: r.offer.Number, Outcome: outcome, Reason: reason}
@@ -437,6 +438,16 @@
 	t.events = append(t.events, event)
 }
 
+// removeActive frees the resources of a run that has ended or has never started.
+func (t *Table) removeActive(r *run) {
+	if t.active[r.ref] != r {
+		return
+	}
+	delete(t.active, r.ref)
+	delete(t.endsBy, r.ref)
+	t.used = t.used.Sub(r.needs)
+}
+
 // returnWaiting returns all waiting tasks to their entries.
 func (t *Table) returnWaiting(now time.Time, reason string) {
 	for _, r := range slices.Clone(t.queue.runs) {
@@ -448,7 +459,7 @@
 // startWaiting starts waiting tasks that fit, the most urgent first. A smaller task may start before one that does not fit,
 // unless that one has waited for longer than MaxBackfillAge.
 func (t *Table) startWaiting(now time.Time) {
-	if t.closedReason() != "" || len(t.orphans) > 0 {
+	if t.closedReason(now) != "" || len(t.orphans) > 0 {
 		return
 	}
 	t.queue.sort(now)
--- a/internal/runs/table_test.go
+++ b/internal/runs/table_test.go
@@ -307,7 +307,7 @@
 	case "left":
 		s.table.HandleWorkerLeft(s.now, s.worker.id)
 	case "drop":
-		s.table.DropOwner(s.now, 1)
+		s.table.DropOwner(s.now, 1, s.now.Add(runs.RunsEndedAfter-runs.OwnerTimeout))
 	case "arrive":
 		if len(s.delayedSnapshots) > 0 {
 			s.delayedSnapshots[0]()
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -281,7 +281,7 @@
 
 func (c *control) dropOwner(now time.Time, id runs.Owner, o *owner) {
 	delete(c.owners, id)
-	c.table.DropOwner(now, id)
+	c.table.DropOwner(now, id, o.lastContact().Add(runs.RunsEndedAfter))
 	if o.link != nil {
 		o.link.Close(link.ErrSilent)
 	}
--- a/internal/workeragent/metrics.go
+++ b/internal/workeragent/metrics.go
@@ -17,8 +17,8 @@
 	Started, Done, Failed, Stopped, NotStarted expvar.Int
 	// StartsUnanswered counts starts without an answer, StartsRefused those that the worker refused.
 	StartsUnanswered, StartsRefused expvar.Int
-	// StopsUnanswered counts stops without an answer.
-	StopsUnanswered expvar.Int
+	// StopsUnanswered counts stops without an answer, LeasesWithheld the times that the lease ran out because a run did not end.
+	StopsUnanswered, LeasesWithheld expvar.Int
 	// AnnouncementsNotInForce counts announcements that were outdated or of another incarnation than the one that answers,
 	// WorkerIncarnations the incarnations of the worker that have answered a poll.
 	AnnouncementsNotInForce, WorkerIncarnations expvar.Int
@@ -41,6 +41,7 @@
 	vars.Set("starts_unanswered", &m.StartsUnanswered)
 	vars.Set("starts_refused", &m.StartsRefused)
 	vars.Set("stops_unanswered", &m.StopsUnanswered)
+	vars.Set("leases_withheld", &m.LeasesWithheld)
 	vars.Set("announcements_not_in_force", &m.AnnouncementsNotInForce)
 	vars.Set("worker_incarnations", &m.WorkerIncarnations)
 	vars.Set("run_ms", m.RunMillis)
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -101,11 +101,12 @@
 	return time.Duration(delay-o.minDelayMicros) * time.Microsecond
 }
 
-// silence returns the time without contact. It counts from the last echoed message or from the first offer after an idle
-// time, whichever is later.
-func (o *owner) silence(now time.Time) time.Duration {
-	return now.Sub(maxTime(o.echoedAt, o.idleEndedAt))
-}
+// lastContact returns when the entry was last known to hear this agent: when the last echoed message was sent, or when the
+// first offer after an idle time was, whichever is later.
+func (o *owner) lastContact() time.Time { return maxTime(o.echoedAt, o.idleEndedAt) }
+
+// silence returns the time without contact.
+func (o *owner) silence(now time.Time) time.Duration { return now.Sub(o.lastContact()) }
 
 // heartbeatInterval returns the longest time between two messages to the entry, which depends on whether it waits for the
 // result of an offer.
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -62,6 +62,7 @@
 	failedAt      time.Time // when the last poll failed
 	unresponsive  bool
 	leaseExpired  bool
+	leaseRunsOut  bool // the lease is not extended, because a run that has to end does not
 }
 
 func newWorkerClient(c *control) *workerClient {
@@ -81,13 +82,23 @@
 	}
 }
 
-// extendLease returns the new end of the lease, on the worker's clock, for a call that is made now.
+// extendLease returns the new end of the lease, on the worker's clock, for a call that is made now. It can be in the past.
 func (w *workerClient) extendLease(now time.Time) time.Duration {
 	end := w.workerClock + now.Sub(w.workerClockAt) + w.leaseDuration
+	if limit := w.control.table.LeaseLimit(); !limit.IsZero() {
+		end = min(end, w.expiringBefore(limit))
+	}
 	w.leaseUntil = max(w.leaseUntil, end)
 	return end
 }
 
+// expiringBefore returns the latest end of a lease, on the worker's clock, with which all runs have ended by a time, also if the
+// worker's clock is slow.
+func (w *workerClient) expiringBefore(t time.Time) time.Duration {
+	left := float64(t.Add(-leaseEndMargin).Sub(w.workerClockAt)) * (1 - runs.MaxClockDrift)
+	return w.workerClock + time.Duration(left)
+}
+
 // leaseExpiry returns when the lease of all runs on the worker has certainly expired.
 func (w *workerClient) leaseExpiry() time.Time {
 	left := float64(w.leaseUntil-w.workerClock) / (1 - runs.MaxClockDrift)
@@ -126,6 +137,7 @@
 // pollIfDue polls the worker if a poll is due.
 func (w *workerClient) pollIfDue(now time.Time) {
 	w.checkResponsiveness(now)
+	w.checkLeaseLimit(now)
 	switch age := now.Sub(w.polledAt); {
 	case w.openPolls >= maxOpenPolls:
 	case w.unresponsive && age < unresponsivePollInterval:
@@ -153,13 +165,31 @@
 	}
 }
 
+// checkLeaseLimit logs when the lease begins to run out because a run does not end, and when that is over.
+func (w *workerClient) checkLeaseLimit(now time.Time) {
+	c := w.control
+	runsOut := c.table.LeaseRunsOut(now)
+	if runsOut == w.leaseRunsOut {
+		return
+	}
+	w.leaseRunsOut = runsOut
+	c.loadDirty = true
+	if !runsOut {
+		c.log.Info("agent: the runs that had to end have ended, the lease is renewed again")
+		return
+	}
+	c.agent.options.Metrics.LeasesWithheld.Add(1)
+	c.log.WithField("ends_in_ms", c.table.LeaseLimit().Sub(now).Milliseconds()).
+		Warn("agent: a run does not end although it has to, the lease of the worker runs out")
+}
+
 // poll requests a snapshot and extends the lease. It does not extend the lease of an unresponsive worker, nor of one that
 // has only runs of a previous agent process, because entries rely on the end of such runs.
 func (w *workerClient) poll(now time.Time) {
 	request := runs.PollRequest{Fence: w.fence, AcknowledgedEnd: w.control.table.LastProcessedEnd()}
 	renewLease := !w.workerClockAt.IsZero() && !w.unresponsive && !w.control.table.OnlyOrphansRunning()
 	if renewLease {
-		request.ExtendLeaseTo = w.extendLease(now)
+		request.ExtendLeaseTo = max(w.extendLease(now), 0)
 	}
 	if renewLease || w.control.table.OnlyOrphansRunning() {
 		request.Wait = maxPollWait
