End withdrawn runs by the lease if stops have no effect

What callers would have seen: a job whose caller's connection broke is submitted again at another entry, while a task of the first submission still runs, because each stop of it was lost. Not seen in operation.

Cause: the entry withdraws such tasks and forgets them. The agent repeated the stop every 60 ms and renewed the lease meanwhile, without a bound.

Change: a withdrawn run has to end within 900 ms, like one of a lost entry. That is less than the 1.3 s after which callers submit again.

Evidence: TestWithdrawnRunEndsAlsoIfStopsAreLost failed before the change (one run left after 900 ms) and passes now.

--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -359,9 +359,11 @@
 	}
 }
 
-// WithdrawOffer ends an offer whose result the entry no longer wants. A run of it is stopped.
+// WithdrawOffer ends an offer whose result the entry no longer wants. A run of it is stopped, and ends within RunsEndedAfter,
+// because the caller may submit the job again at another entry, which does not know of this run.
 func (t *Table) WithdrawOffer(now time.Time, owner Owner, number uint64) {
 	if r := t.offers[offerKey{owner, number}]; r != nil {
+		t.requireEnd(r, now.Add(RunsEndedAfter))
 		t.cancelRun(now, r, "withdrawn")
 	}
 }
--- a/internal/workeragent/lease_test.go
+++ b/internal/workeragent/lease_test.go
@@ -220,3 +220,18 @@
 		g.Expect(w.running()).To(gomega.Equal(1))
 	})
 }
+
+// Guards against two runs of a task whose job was submitted again: the entry withdraws the task when the caller's connection ends, the
+// worker leaves each stop unanswered, and the caller submits the job at another entry.
+func TestWithdrawnRunEndsAlsoIfStopsAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		w := newLeasedWorker()
+		a, other, contact := agentWithRuns(t, w)
+		contact(3 * runs.RunsEndedAfter) // the run of the lost entry has ended
+		w.setLosesStops(true)
+		a.post(change(func(c *control, now time.Time) { c.table.WithdrawOffer(now, other, 1) }))
+		contact(runs.RunsEndedAfter)
+		g.Expect(w.running()).To(gomega.BeZero())
+	})
+}
