Serve connections that were accepted just before a planned stop ends

What callers saw: during a planned stop, a request on a connection that the entry had accepted got no answer.

Cause: the stop counted a request from the start of its handler. A connection that was accepted but whose header had not been read did not count, so the server shut down. net/http drops a request that it reads after that without an answer; the 150 ms of the shutdown are only for answers.

Ruled out: the length of the grace period (3 s of it were left), and the shutdown timeout alone. With Shutdown until the end of the grace period, the test below still got an end of file.

It closes the listener, waits until the server has returned every connection that it accepted, and shuts down when none is busy.

Evidence: TestPlannedStopServesAConnectionThatWasJustAccepted failed before ("unexpected EOF") and passes now.

--- a/internal/jobentry/serve.go
+++ b/internal/jobentry/serve.go
@@ -47,8 +47,8 @@
 	Grace time.Duration
 	Log   log.Interface
 
-	stopping atomic.Bool
-	requests atomic.Int64
+	stopping    atomic.Bool
+	connections *connections
 }
 
 // Ready reports whether the load balancer may send new connections.
@@ -62,9 +62,10 @@
 	if err != nil {
 		return err
 	}
+	s.connections = newConnections()
 	server := &http.Server{
-		Handler: s.countRequests(), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		ErrorLog: logging.NewStandardLogger(s.Log, "entry"), ConnContext: withConn,
+		Handler: s.announceClose(), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		ErrorLog: logging.NewStandardLogger(s.Log, "entry"), ConnContext: withConn, ConnState: s.connections.setState,
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(pausableListener{listener, s.Entry.overload.acceptPaused.Load}) }()
@@ -74,7 +75,7 @@
 		return eris.Wrapf(ErrListen, "%v", err)
 	case <-ctx.Done():
 	}
-	s.stop(server, listener)
+	s.stop(server, listener, failed)
 	return nil
 }
 
@@ -112,10 +113,8 @@
 	return true
 }
 
-func (s *CallerServer) countRequests() http.Handler {
+func (s *CallerServer) announceClose() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.requests.Add(1)
-		defer s.requests.Add(-1)
 		s.Handler.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: &s.stopping}, r)
 	})
 }
@@ -139,18 +138,23 @@
 func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // stop performs a planned stop. A load balancer that has no other entry nearby may send connections for longer than
-// balancerRotationTime; they are accepted as long as jobs are open and there is time to serve them.
-func (s *CallerServer) stop(server *http.Server, listener net.Listener) {
+// balancerRotationTime; they are accepted as long as requests are open and there is time to serve them. served gets the error with
+// which the server ends when its listener is closed.
+func (s *CallerServer) stop(server *http.Server, listener net.Listener, served <-chan error) {
 	began := time.Now()
 	s.stopping.Store(true)
-	s.Log.WithField("open", s.requests.Load()).Info("entry: stopping, not ready for new connections")
+	s.Log.WithField("open", s.connections.busy()).Info("entry: stopping, not ready for new connections")
 	giveUp := began.Add(s.Grace - answerReserve)
 	s.awaitRequests(began, giveUp.Add(-acceptReserve))
 	if err := listener.Close(); err != nil {
 		s.Log.WithField("error", err.Error()).Warn("entry: listener cannot be closed")
 	}
+	select {
+	case <-served: // every accepted connection is tracked now
+	case <-time.After(time.Until(giveUp)): // the server waits while the entry is overloaded
+	}
 	s.awaitRequests(began, giveUp)
-	if open := s.requests.Load(); open > 0 {
+	if open := s.connections.busy(); open > 0 {
 		s.Log.WithField("open", open).Warn("entry: giving up the open jobs before the process is killed")
 		s.Entry.giveUpAll(context.Background())
 	}
@@ -165,7 +169,7 @@
 // awaitRequests waits until no request is open and balancerRotationTime has passed since the stop began, but not beyond a
 // time.
 func (s *CallerServer) awaitRequests(began, until time.Time) {
-	for time.Now().Before(until) && (s.requests.Load() > 0 || time.Since(began) < balancerRotationTime) {
+	for time.Now().Before(until) && (s.connections.busy() > 0 || time.Since(began) < balancerRotationTime) {
 		time.Sleep(requestPollInterval)
 	}
 }
