Refuse a job as malformed only if none of its tasks has run

What callers saw: a job was answered 400, after which callers don't submit it again, while tasks of it had started. One worker of eleven had rejected one start, and all others ran the same task.

Cause: the scheduler answered a job as invalid at the first rejection of one of its tasks, without a look at the other tasks or workers.

Change: a rejected task is offered to other workers.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -103,6 +103,8 @@
 	chainTimes []time.Duration
 	openTasks  int
 	answered   bool
+	// rejection is why workers reject a task of the job as malformed; empty while none counts as rejected.
+	rejection string
 	// firstSubmitted is when the caller first submitted the job, as estimated by earlierWait.
 	firstSubmitted time.Time
 	// objective is the time from the first submission within which the job should be done.
@@ -122,7 +124,8 @@
 	latestStart    time.Time // when it should start on a worker of ordinary speed
 	highestAttempt uint32    // the highest attempt number used so far
 	failures       int
-	avoidAgents    []AgentID // agents at which a run failed or was lost
+	rejections     int
+	avoidAgents    []AgentID // agents at which a run failed, was lost or was rejected
 	offerNumber    uint64
 	agent          *agent
 	incarnation    uint64 // of the agent process that got the offer
@@ -328,7 +331,7 @@
 	case wire.RunFailed:
 		s.handleFailed(t, id)
 	case wire.RunInvalid:
-		s.answerJob(t.job, Invalid, end.Reason, 0)
+		s.handleRejected(t, id, end.Reason)
 	case wire.RunStopped:
 		t.avoidAgents = append(t.avoidAgents, id) // the worker stalled or lost the run
 		s.enqueue(t)
@@ -336,6 +339,7 @@
 		t.started = false
 		s.enqueue(t)
 	}
+	s.answerIfRejected(t.job)
 }
 
 func (s *Scheduler) handleDone(t *task) {
@@ -415,15 +419,14 @@
 	t.avoidAgents = append(t.avoidAgents, t.agent.id)
 	s.removeOffer(t)
 	s.enqueue(t)
+	s.answerIfRejected(t.job)
 }
 
 // expireJob answers a job whose deadline has passed. The answer is NotRun only if none of its tasks can have started.
 func (s *Scheduler) expireJob(j *Job) {
-	for _, t := range j.tasks {
-		if t.state == taskOffered || t.state == taskUncertain || t.mayHaveRun {
-			s.answerJob(j, GivenUp, "the deadline has come", 0)
-			return
-		}
+	if j.hasOpenOffer() || j.mayHaveRun() {
+		s.answerJob(j, GivenUp, "the deadline has come", 0)
+		return
 	}
 	s.answerJob(j, NotRun, "no worker had room before the deadline", overloadRetryAfter)
 }
