Wait for the lease of a worker that refuses connections

What callers saw: while a worker was cut off with refused connections, all of its tasks ran on two workers at the same time, for 0.3 s and more.

Cause: the agent took a refused connection as proof that the worker's process had ended and reported its runs as stopped at once. A firewall refuses the connections of a live process too, and that one runs on until its lease ends.

Change: such a worker is treated like a silent one. It gets no more work, and its runs count as stopped when their lease has expired or another incarnation answers.

TestRunsOfAWorkerThatRefusesConnectionsEndWithTheLease failed before.

Cost: tasks of a crashed worker wait up to 0.45 s.

--- a/internal/workeragent/lease_test.go
+++ b/internal/workeragent/lease_test.go
@@ -31,6 +31,7 @@
 
 	mu         sync.Mutex
 	losesStops bool                   // stops get no answer and have no effect
+	refuses    bool                   // connections are refused, as by a firewall
 	runs       map[runs.Ref]time.Time // when each began
 	leaseUntil time.Duration
 	finished   []runs.Finished
@@ -71,11 +72,20 @@
 	w.losesStops = loses
 }
 
+func (w *leasedWorker) setRefuses(refuses bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refuses = refuses
+}
+
 // Start implements runs.Worker.
 func (w *leasedWorker) Start(_ context.Context, _ string, s runs.Start) (time.Duration, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.expireLease()
+	if w.refuses {
+		return 0, runs.ErrNotListening
+	}
 	if s.LeaseUntil <= w.clock() {
 		return w.clock(), runs.ErrLeaseExpired
 	}
@@ -89,7 +99,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.expireLease()
-	if w.losesStops {
+	switch {
+	case w.refuses:
+		return runs.ErrNotListening
+	case w.losesStops:
 		return errNoAnswer
 	}
 	if _, running := w.runs[r]; running {
@@ -104,6 +117,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.expireLease()
+	if w.refuses {
+		return runs.Snapshot{}, runs.ErrNotListening
+	}
 	w.leaseUntil = max(w.leaseUntil, r.ExtendLeaseTo)
 	s := runs.Snapshot{StartedMillis: 1, Clock: w.clock(), Finished: append([]runs.Finished(nil), w.finished...)}
 	for ref, began := range w.runs {
@@ -235,3 +251,24 @@
 		g.Expect(w.running()).To(gomega.BeZero())
 	})
 }
+
+// Guards against two runs of a task: the entries start the tasks of a worker elsewhere when its agent reports their runs as stopped,
+// while the worker refuses connections and runs on until its lease ends.
+func TestRunsOfAWorkerThatRefusesConnectionsEndWithTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		w := newLeasedWorker()
+		a, _, contact := agentWithRuns(t, w)
+		contact(runs.HeartbeatInterval)
+		w.setRefuses(true)
+		refusedAt := time.Now()
+		for !stateOf(a).idle {
+			g.Expect(time.Since(refusedAt)).To(gomega.BeNumerically("<", runs.RunsEndedAfter))
+			contact(time.Millisecond)
+		}
+		g.Expect(w.running()).To(gomega.BeZero(), "the agent has reported the runs as stopped")
+		w.setRefuses(false)
+		contact(200 * time.Millisecond)
+		g.Expect(stateOf(a).load.Closed).To(gomega.BeEmpty(), "the worker takes work again")
+	})
+}
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -257,17 +257,26 @@
 		w.answeredAt = now
 		w.raiseFence()
 	case errors.Is(err, runs.ErrNotListening):
-		if !w.leaseExpired {
-			c.log.Warn("agent: the worker does not listen, its runs have ended")
-			c.table.HandleWorkerLost(now, "the worker does not listen")
-			c.loadDirty = true
-		}
-		w.unresponsive, w.leaseExpired = true, true
+		w.handleRefusedConnection(now)
 	default:
 		c.log.WithField("error", err.Error()).Debug("agent: poll of the worker failed, will poll again")
 	}
 }
 
+// handleRefusedConnection stops offering work to a worker that refuses connections. Its process may have ended, but a firewall can
+// refuse the connections of a live process too, so only the lease or another incarnation shows that its runs have ended.
+func (w *workerClient) handleRefusedConnection(now time.Time) {
+	if w.unresponsive {
+		return
+	}
+	w.unresponsive = true
+	c := w.control
+	c.log.WithField("lease_ms", w.leaseExpiry().Sub(now).Milliseconds()).
+		Warn("agent: the worker refuses connections, its runs count as stopped when their lease has expired")
+	c.table.MarkUnresponsive(now)
+	c.loadDirty = true
+}
+
 // raiseFence raises the fencing token above the one that another process of the agent has used.
 func (w *workerClient) raiseFence() {
 	w.fence += w.fenceStep
