Find a job that another entry has when its caller cancels it or asks for it

What callers saw: a caller that had moved to another data centre cancelled its job there and was answered 410, as if the job did not exist. The job ran on, and tasks of its second step started 4.3 s later.

Cause: an entry looked for a job only among its own, and answered 410 for each job that another entry has.

Change: an entry that does not have the job asks the others, through up to three agents, which have links to all entries. The entry that has it cancels it and replies. Without a reply within 250 ms the answer is 410. The state of a job is found in the same way. A process of an older version closes a link on which it gets such a query, as with each new message.

TestJobIsCancelledAtAnotherEntry failed on the code before (410 for an open job) and passes now.

--- a/internal/jobentry/agents.go
+++ b/internal/jobentry/agents.go
@@ -128,6 +128,10 @@
 		a.lastReceivedMicros, a.catalogVersion = m.SentMicros, m.CatalogVersion
 	case *wire.CatalogPush:
 		c.applyPushedCatalog(a, m)
+	case *wire.JobQuery:
+		c.answerJobQuery(a, m)
+	case *wire.JobReply:
+		c.applyJobReply(m)
 	}
 }
 
--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -70,6 +70,8 @@
 	catalogBehindSince, catalogPulledAt time.Time
 	// linksCheckedAt is when the links of all agents were last checked.
 	linksCheckedAt time.Time
+	// jobQueries holds the queries to other entries that wait for a reply, by number.
+	jobQueries map[uint64]chan<- struct{}
 	// refusingJobs is true at the end of a planned stop: new jobs are answered with NotRun.
 	refusingJobs bool
 }
@@ -91,7 +93,7 @@
 
 func newControl(e *Entry) *control {
 	return &control{
-		entry: e, log: e.options.Log, agents: make(map[scheduler.AgentID]*agentConn),
+		entry: e, log: e.options.Log, agents: make(map[scheduler.AgentID]*agentConn), jobQueries: make(map[uint64]chan<- struct{}),
 		scheduler: scheduler.New(scheduler.DefaultConfig(e.options.DataCentre)),
 	}
 }
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -64,6 +64,7 @@
 	listener        net.Listener
 	catalog         atomic.Pointer[catalog.Catalog]
 	availableAgents atomic.Int64 // linked agents whose workers take tasks
+	lastJobQuery    atomic.Uint64
 	control         *control
 	overload        overload
 }
--- a/internal/jobentry/queries.go
+++ b/internal/jobentry/queries.go
@@ -44,20 +44,6 @@
 	return <-n
 }
 
-// HasOpenJob reports whether a job with the id is open at this entry.
-func (e *Entry) HasOpenJob(ctx context.Context, id string) bool {
-	found := make(chan bool, 1)
-	return e.runInControl(ctx, func(c *control, _ time.Time) { found <- c.scheduler.Job(id) != nil }) && <-found
-}
-
-// CancelJob ends an open job: its submitters get the answer GivenUp. It returns false if no job with the id is open.
-func (e *Entry) CancelJob(ctx context.Context, id string) bool {
-	found := make(chan bool, 1)
-	return e.runInControl(ctx, func(c *control, now time.Time) {
-		found <- c.scheduler.GiveUp(id, "cancelled by the caller")
-	}) && <-found
-}
-
 // OpenJobs returns the number of jobs without an answer.
 func (e *Entry) OpenJobs(ctx context.Context) int {
 	n := make(chan int, 1)
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -41,6 +41,8 @@
 	TypeCatalogPush    Type = 30
 	TypeEntryAddresses Type = 31
 	TypeCatalogPull    Type = 32
+	TypeJobQuery       Type = 33
+	TypeJobReply       Type = 34
 )
 
 // MaxFrame is the largest frame in bytes that a process sends or accepts.
@@ -205,6 +207,10 @@
 		return new(EntryAddresses)
 	case TypeCatalogPull:
 		return new(CatalogPull)
+	case TypeJobQuery:
+		return new(JobQuery)
+	case TypeJobReply:
+		return new(JobReply)
 	default:
 		return nil
 	}
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -149,6 +149,30 @@
 	Addresses []string `cbor:"1,keyasint"`
 }
 
+// JobQuery asks the other entries whether a job is open at one of them. An entry sends it to an agent, which passes it on to the
+// other entries that it has a link to.
+type JobQuery struct {
+	// Asker is the incarnation of the entry that asks. The agent sets it.
+	Asker uint64 `cbor:"1,keyasint,omitempty"`
+	// Number identifies the query at the entry that asks.
+	Number uint64 `cbor:"2,keyasint"`
+	Job    string `cbor:"3,keyasint"`
+	// Cancel ends the job if it is open.
+	Cancel bool `cbor:"4,keyasint,omitempty"`
+}
+
+// JobReply answers a JobQuery by the same way. Only an entry at which the job is open sends it, or was until the query cancelled it.
+type JobReply struct {
+	Asker  uint64 `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"`
+}
+
+// Type implements Message.
+func (*JobQuery) Type() Type { return TypeJobQuery }
+
+// Type implements Message.
+func (*JobReply) Type() Type { return TypeJobReply }
+
 // Type implements Message.
 func (*Offers) Type() Type { return TypeOffers }
 
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -207,6 +207,22 @@
 		c.sendCatalog(o)
 	case *wire.EntryAddresses:
 		c.diallers.add(m.Addresses)
+	case *wire.JobQuery:
+		c.relayJobQuery(id, m)
+	case *wire.JobReply:
+		if asker := c.owners[runs.Owner(m.Asker)]; asker != nil {
+			asker.send(m)
+		}
+	}
+}
+
+// relayJobQuery passes a query about a job on to all other entries.
+func (c *control) relayJobQuery(asker runs.Owner, m *wire.JobQuery) {
+	m.Asker = uint64(asker)
+	for id, o := range c.owners {
+		if id != asker {
+			o.send(m)
+		}
 	}
 }
 
