Log no negative lease of a worker that has never answered

The time left of the lease is taken from a clock that is not known before the first answer. Found by reading; the field lease_ms would have been a large negative number.

--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -271,7 +271,7 @@
 	}
 	w.unresponsive = true
 	c := w.control
-	c.log.WithField("lease_ms", w.leaseExpiry().Sub(now).Milliseconds()).
+	c.log.WithField("lease_ms", max(w.leaseExpiry().Sub(now), 0).Milliseconds()).
 		Warn("agent: the worker refuses connections, its runs count as stopped when their lease has expired")
 	c.table.MarkUnresponsive(now)
 	c.loadDirty = true
