Check the label of a task when it starts at the worker

What callers would have seen: a task that must run on a worker with a label started on a worker without it.

Cause: an entry chooses the worker by its label, but an offer did not carry the label. A task that waited at the agent while the worker restarted under its id as another kind was started on the new incarnation. The service and the size of the task were compared only when the offer arrived.

Change: offers carry the label, and the agent compares service, label and size with the present incarnation, on arrival and before each start.

Evidence: TestWaitingTaskIsNotStartedOnAnotherKindOfWorker failed before (one start on the other kind) and passes now.

--- a/internal/runs/incarnation_test.go
+++ b/internal/runs/incarnation_test.go
@@ -1,6 +1,7 @@
 package runs_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -120,3 +121,42 @@
 	g.Expect(events[0].End.Outcome).To(gomega.Equal(wire.RunStopped))
 	g.Expect(table.Idle()).To(gomega.BeTrue())
 }
+
+// Guards against a task that starts on a worker without its label: the worker restarts under its id as another kind while the task
+// waits for capacity at the agent.
+func TestWaitingTaskIsNotStartedOnAnotherKindOfWorker(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	w := newFakeWorker(1, 10)
+	table := runs.NewTable(runs.DefaultConfig())
+	announce := func(label string) {
+		a := w.announcementOf(1, false)
+		a.Labels = []string{label, "rack-1"}
+		table.SetWorker(now, a)
+	}
+	announce("a")
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	for number := range uint64(2) {
+		table.AddOffer(now, 1, wire.Offer{Number: number + 1, Job: fmt.Sprint(number), Service: "bench", Label: "a", MilliCPU: 8, BudgetMillis: 10_000})
+	}
+	commands, _ := table.TakeOutput()
+	g.Expect(commands).To(gomega.HaveLen(1), "the other task waits")
+	g.Expect(w.start(commands[0].Ref, 8)).To(gomega.Succeed())
+	table.HandleStartResult(now, commands[0].Ref, nil)
+	w.restart()
+	now = now.Add(20 * time.Millisecond)
+	announce("b")
+	table.HandleSnapshot(now.Add(time.Millisecond), now.Add(time.Millisecond), w.snapshot(0))
+	commands, events := table.TakeOutput()
+	g.Expect(commands).To(gomega.BeEmpty())
+	outcomes := make(map[uint64]wire.RunOutcome)
+	for _, e := range events {
+		if e.End != nil {
+			outcomes[e.End.Number] = e.End.Outcome
+		}
+	}
+	g.Expect(outcomes).To(gomega.Equal(map[uint64]wire.RunOutcome{1: wire.RunStopped, 2: wire.RunNotStarted}))
+	table.AddOffer(now, 1, wire.Offer{Number: 3, Job: "c", Service: "bench", Label: "a", MilliCPU: 8, BudgetMillis: 10_000})
+	commands, _ = table.TakeOutput()
+	g.Expect(commands).To(gomega.BeEmpty(), "the entry does not know of the restart yet")
+}
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -348,12 +348,24 @@
 	switch {
 	case t.closedReason(now) != "":
 		return t.closedReason(now)
+	case t.unfitReason(r) != "":
+		return t.unfitReason(r)
+	case !t.health.admits(now, len(t.active)+t.queue.Len()):
+		return "the worker is on trial"
+	default:
+		return ""
+	}
+}
+
+// unfitReason returns why the present incarnation of the worker can't run a task, or an empty string.
+func (t *Table) unfitReason(r *run) string {
+	switch {
 	case r.offer.Service != t.announcement.Service:
 		return "the worker belongs to another service"
+	case r.offer.Label != "" && !slices.Contains(t.announcement.Labels, r.offer.Label):
+		return "the worker does not have the label"
 	case !r.needs.FitsIn(t.announcement.Capacity):
 		return "the task is larger than the worker"
-	case !t.health.admits(now, len(t.active)+t.queue.Len()):
-		return "the worker is on trial"
 	default:
 		return ""
 	}
@@ -470,6 +482,9 @@
 		case !r.expiresAt.After(now):
 			t.queue.remove(r)
 			t.endOffer(now, r, wire.RunNotStarted, "expired")
+		case t.unfitReason(r) != "": // the worker has restarted since the offer arrived
+			t.queue.remove(r)
+			t.endOffer(now, r, wire.RunNotStarted, t.unfitReason(r))
 		case t.hasActiveRun(r.ref.Task):
 		case t.used.Add(r.needs).FitsIn(t.announcement.Capacity):
 			t.queue.remove(r)
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -263,6 +263,6 @@
 		Accelerators: t.step.Needs.Accelerators, EstimateMillis: t.step.Estimate.Milliseconds(),
 		Priority: j.Queue.Priority, SlackMillis: t.latestStart.Sub(now).Milliseconds(),
 		BudgetMillis: j.Deadline.Sub(now).Milliseconds(), LateWindowMillis: j.lateWindow().Milliseconds(),
-		MaxWaitMillis: s.config.MaxWaitOnArrival.Milliseconds(),
+		MaxWaitMillis: s.config.MaxWaitOnArrival.Milliseconds(), Label: t.step.Label,
 	}})
 }
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -43,6 +43,8 @@
 	// MaxWaitMillis is the longest expected wait at the agent. The agent returns a task that would wait longer; 0 means no
 	// limit.
 	MaxWaitMillis int64 `cbor:"16,keyasint,omitempty"`
+	// Label is a label that the worker must have; empty means any worker.
+	Label string `cbor:"17,keyasint,omitempty"`
 }
 
 // Offers carries new offers and withdrawals of earlier ones from an entry to an agent.
