--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -282,7 +282,7 @@
 	t.returnWaiting(now, t.closedReason(now))
 }
 
-// HandleWorkerLost ends all runs. It is called when the lease of the worker has expired or its process has ended.
+// HandleWorkerLost ends all runs. It is called when the lease of the worker has expired.
 func (t *Table) HandleWorkerLost(now time.Time, reason string) {
 	t.unresponsive = true
 	t.endActive(now, reason)
