--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -39,10 +39,17 @@
 	Version  uint64
 	Queues   []Queue
 	Services []Service
+
+	index *queueIndex
 }
 
-// MatchQueue returns the queue of a request: among the queues that match its host and path, the one with the longest prefix.
-// It returns nil if no queue matches.
+// BuildIndex builds the index that MatchQueue uses. It must be called after the last change of Queues and before the catalog
+// is published. Building takes time in proportion to the size of the catalog.
+func (c *Catalog) BuildIndex() { c.index = newQueueIndex(c.Queues) }
+
+// MatchQueue returns the queue of a request: among the queues that match its host and path, the one with the longest prefix,
+// and the first of several with the same prefix. It returns nil if no queue matches. With an index the cost depends on the
+// length of the path, not on the number of queues.
 func (c *Catalog) MatchQueue(host, path string) *Queue {
 	if c == nil {
 		return nil
@@ -50,6 +57,17 @@
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
 		host = host[:i]
 	}
+	if c.index == nil {
+		return c.searchQueue(host, path)
+	}
+	if i := c.index.match(host, path); i != noQueue {
+		return &c.Queues[i]
+	}
+	return nil
+}
+
+// searchQueue does what MatchQueue does by comparing all queues.
+func (c *Catalog) searchQueue(host, path string) *Queue {
 	var best *Queue
 	for i := range c.Queues {
 		q := &c.Queues[i]
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -53,6 +53,9 @@
 	KeepAlive net.KeepAliveConfig
 	// Header is sent with each call.
 	Header http.Header
+	// ReceiveBuffer is the size in bytes of the receive buffer of each connection, which bounds the part of a response that is
+	// on the way; 0 leaves it to the operating system. The operating system may use up to twice the value.
+	ReceiveBuffer int
 }
 
 // Client makes calls to one server. It follows no redirects. It uses HTTP/1.1 only, which has one call at a time on a
@@ -72,6 +75,9 @@
 		return nil, eris.Wrapf(ErrInvalidRequest, "address %q is not an http or https URL", o.BaseURL)
 	}
 	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAliveConfig: o.KeepAlive}
+	if o.ReceiveBuffer > 0 {
+		dialer.Control = func(_, _ string, conn syscall.RawConn) error { return setReceiveBuffer(conn, o.ReceiveBuffer) }
+	}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		TLSHandshakeTimeout: o.DialTimeout,
@@ -90,6 +96,16 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.client.CloseIdleConnections() }
 
+// setReceiveBuffer sets the size of the receive buffer before the connection is opened, because the window that is announced
+// then does not shrink.
+func setReceiveBuffer(conn syscall.RawConn, size int) error {
+	var err error
+	controlErr := conn.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
+	})
+	return errors.Join(controlErr, err)
+}
+
 // Request is one call. Path is appended to the base URL and must already be escaped.
 type Request struct {
 	Method string
@@ -97,8 +113,10 @@
 	Query  url.Values
 	Header http.Header // sent in addition to that of the client, and replaces its values
 	Body   []byte
-	// Timeout bounds the call until the whole response has been read.
+	// Timeout bounds the call until the whole response has been read or, with a BodyTimeout, until its header has.
 	Timeout time.Duration
+	// BodyTimeout bounds reading the body of the response, from the arrival of its header; 0 means that Timeout includes it.
+	BodyTimeout time.Duration
 }
 
 // Reply is a complete response.
@@ -117,8 +135,10 @@
 // Do makes a call. reached reports whether the server may have received the request. The error is ErrNoAnswer,
 // ErrConnectionRefused, ErrReplyTooLarge or ErrInvalidRequest. A response with an error status is a reply, not an error.
 func (c *Client) Do(ctx context.Context, r Request) (reply *Reply, reached bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(r.Timeout, func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), r)
@@ -130,6 +150,9 @@
 		return nil, connected.Load(), transportError(err, connected.Load())
 	}
 	defer response.Body.Close()
+	if r.BodyTimeout > 0 {
+		timer.Reset(r.BodyTimeout)
+	}
 	reply, err = c.readReply(response)
 	return reply, true, err
 }
--- a/internal/jobentry/agents.go
+++ b/internal/jobentry/agents.go
@@ -29,16 +29,14 @@
 	}
 	sameProcess := a.incarnation == hello.Incarnation
 	a.link, a.incarnation, a.lastReceivedAt, a.lastReceivedMicros = e.link, hello.Incarnation, now, 0
-	a.catalogVersion, a.pending, a.echoSentAt, a.idleEndedAt = 0, wire.Offers{}, time.Time{}, time.Time{}
+	a.pending, a.echoSentAt, a.idleEndedAt = wire.Offers{}, time.Time{}, time.Time{}
+	c.catalogs.holders.AddAgent(string(id), hello.DataCentre)
 	c.log.WithFields(log.Fields{
 		"agent": id, "incarnation": hello.Incarnation, "data_centre": hello.DataCentre, "same_process": sameProcess,
 	}).Info("entry: link to an agent is open")
 	c.scheduler.AgentConnected(now, id, hello.Incarnation, hello.DataCentre)
 	a.busy = c.scheduler.HasOpenOffers(id)
 	c.send(a, &wire.Offers{SentMicros: clock.BootMicros(now), Resume: true, Outstanding: c.scheduler.OutstandingOffers(id)})
-	if c.encodedCatalog != nil {
-		c.send(a, &wire.CatalogPush{Version: catalog.VersionOf(c.entry.Catalog()), Body: c.encodedCatalog})
-	}
 	c.sendAddresses(a)
 }
 
@@ -53,6 +51,8 @@
 
 // reportAgentLost reports to the scheduler that an agent is out of contact and when its runs have ended.
 func (c *control) reportAgentLost(now time.Time, a *agentConn, cause string) {
+	c.catalogs.holders.RemoveAgent(string(a.id))
+	c.catalogs.sender.RemovePeer(string(a.id))
 	runsEndedAt := maxTime(a.lastReceivedAt, a.idleEndedAt).Add(runs.RunsEndedAfter)
 	c.log.WithFields(log.Fields{
 		"agent": a.id, "cause": cause, "heard_ms": now.Sub(a.lastReceivedAt).Milliseconds(),
@@ -125,9 +125,12 @@
 		a.lastReceivedMicros = m.SentMicros
 		c.applyReport(now, a, m)
 	case *wire.Heartbeat:
-		a.lastReceivedMicros, a.catalogVersion = m.SentMicros, m.CatalogVersion
-	case *wire.CatalogPush:
-		c.applyPushedCatalog(a, m)
+		a.lastReceivedMicros = m.SentMicros
+		c.catalogs.holders.ReportVersion(string(a.id), m.CatalogVersion)
+	case *wire.CatalogPull:
+		c.catalogs.sender.AddPull(string(a.id), m)
+	case *wire.CatalogChunk:
+		c.applyChunk(now, a, m)
 	case *wire.JobQuery:
 		c.answerJobQuery(a, m)
 	case *wire.JobReply:
@@ -154,50 +157,3 @@
 			Info("entry: load of a replaced agent process is ignored")
 	}
 }
-
-// Timing of pulling the configuration from agents.
-const (
-	// catalogPullDelay is how long an entry with an outdated configuration waits for the newer one from the store before it
-	// pulls it from an agent.
-	catalogPullDelay = 150 * time.Millisecond
-	// catalogPullRetryInterval is the time after which the configuration is requested again.
-	catalogPullRetryInterval = 100 * time.Millisecond
-)
-
-// pullCatalog requests the configuration from the agent with the newest version if that is newer than the entry's own: the
-// store may be unavailable to this entry, or may have delivered the configuration to another entry first. An entry without
-// any configuration requests it without delay.
-func (c *control) pullCatalog(now time.Time) {
-	own := catalog.VersionOf(c.entry.Catalog())
-	var newest *agentConn
-	for _, a := range c.agents {
-		if a.link != nil && a.catalogVersion > own && (newest == nil || a.catalogVersion > newest.catalogVersion) {
-			newest = a
-		}
-	}
-	switch {
-	case newest == nil:
-		c.catalogBehindSince = time.Time{}
-		return
-	case c.catalogBehindSince.IsZero():
-		c.catalogBehindSince = now
-	}
-	if own > 0 && now.Sub(c.catalogBehindSince) < catalogPullDelay || now.Sub(c.catalogPulledAt) < catalogPullRetryInterval {
-		return
-	}
-	c.catalogPulledAt = now
-	c.send(newest, &wire.CatalogPull{})
-}
-
-func (c *control) applyPushedCatalog(a *agentConn, m *wire.CatalogPush) {
-	if m.Version <= catalog.VersionOf(c.entry.Catalog()) {
-		return
-	}
-	decoded, err := catalog.Decode(m.Body)
-	if err != nil {
-		c.log.WithError(err).Error("entry: cannot decode the catalog of an agent, keeping the present one")
-		return
-	}
-	a.catalogVersion = decoded.Version
-	c.applyCatalog(decoded, "agent "+string(a.id))
-}
--- a/internal/jobentry/agents_test.go
+++ b/internal/jobentry/agents_test.go
@@ -1,6 +1,9 @@
 package jobentry
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +95,44 @@
 	g.Expect(a.isSilent(now.Add(2*interval), interval)).To(gomega.BeFalse())
 	g.Expect(a.isSilent(now.Add(runs.IdleTimeout(interval)), interval)).To(gomega.BeTrue())
 }
+
+// Guards against one message with the payloads of many tasks, which delays what is sent to the agent behind it, and against
+// a part that is lost, repeated or begins the idle time anew.
+func TestLargeOffersAreSplit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := wire.Offers{SentMicros: 5, LastReceivedMicros: 4, EndsIdle: true, Withdraw: []uint64{1}}
+	for i := range 140 {
+		m.Offers = append(m.Offers, wire.Offer{Number: uint64(i), Job: "j", Payload: strings.Repeat("x", job.MaxPayload), Service: "bench"})
+	}
+	next := uint64(0)
+	for i, part := range splitOffers(m) {
+		frame, err := wire.Encode(&part)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(len(frame)).To(gomega.BeNumerically("<=", maxMessageBytes+1024))
+		g.Expect(part.EndsIdle).To(gomega.Equal(i == 0))
+		g.Expect(part.Withdraw).To(gomega.HaveLen(max(0, 1-i)))
+		g.Expect(part.SentMicros).To(gomega.BeEquivalentTo(5))
+		for _, o := range part.Offers {
+			g.Expect(o.Number).To(gomega.Equal(next))
+			next++
+		}
+	}
+	g.Expect(next).To(gomega.BeEquivalentTo(140))
+	g.Expect(splitOffers(wire.Offers{Withdraw: []uint64{1}})).To(gomega.HaveLen(1))
+}
+
+// Guards against a message of any size because another client has written many addresses to the store, and against the loss of
+// the addresses in the settings.
+func TestAddressesFitIntoOneMessage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	announced := []string{"10.0.0.1:1"}
+	for i := range 5000 {
+		announced = append(announced, fmt.Sprintf("10.1.%d.%d:20000", i/250, i%250))
+	}
+	merged := mergeAddresses([]string{"10.0.0.1:1", "10.0.0.2:1"}, announced)
+	g.Expect(merged[:2]).To(gomega.Equal([]string{"10.0.0.1:1", "10.0.0.2:1"}))
+	frame, err := wire.Encode(&wire.EntryAddresses{Addresses: merged})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(len(frame)).To(gomega.BeNumerically("<=", maxMessageBytes+64))
+	g.Expect(merged).To(gomega.HaveLen(len(slices.Compact(slices.Sorted(slices.Values(merged))))))
+}
--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -7,7 +7,6 @@
 
 	"github.com/apex/log"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
@@ -38,8 +37,6 @@
 		link    *link.Link
 		message wire.Message
 	}
-	// catalogRead is a configuration from the store.
-	catalogRead struct{ catalog *catalog.Catalog }
 	// entriesRead holds the link addresses of all announced entries.
 	entriesRead struct{ addresses []string }
 	// seedsRead holds the link addresses of entries in the settings.
@@ -65,9 +62,7 @@
 	// addresses are the link addresses of announced entries, seeds those in the settings, which also work during an outage
 	// of the store.
 	addresses, seeds []string
-	encodedCatalog   []byte // the configuration in force, encoded for agents
-	// catalogBehindSince is when an agent first reported a newer catalog, catalogPulledAt when one was last requested.
-	catalogBehindSince, catalogPulledAt time.Time
+	catalogs         catalogState
 	// linksCheckedAt is when the links of all agents were last checked.
 	linksCheckedAt time.Time
 	// jobQueries holds the queries to other entries that wait for a reply, by number.
@@ -85,16 +80,15 @@
 	lastReceivedMicros int64     // SentMicros of the agent's last message, to be echoed
 	echoSentAt         time.Time // when the last message with an echo was sent
 	// busy is true while the entry has open offers at the agent; idleEndedAt is when it made the first one after an idle time.
-	busy           bool
-	idleEndedAt    time.Time
-	catalogVersion uint64 // version of the agent's catalog
-	pending        wire.Offers
+	busy        bool
+	idleEndedAt time.Time
+	pending     wire.Offers
 }
 
 func newControl(e *Entry) *control {
 	return &control{
 		entry: e, log: e.options.Log, agents: make(map[scheduler.AgentID]*agentConn), jobQueries: make(map[uint64]chan<- struct{}),
-		scheduler: scheduler.New(scheduler.DefaultConfig(e.options.DataCentre)),
+		scheduler: scheduler.New(scheduler.DefaultConfig(e.options.DataCentre)), catalogs: newCatalogState(e.options.CatalogBytesPerSecond),
 	}
 }
 
@@ -151,10 +145,11 @@
 	if checkLinks { // before anything is decided, because the process may have been paused
 		c.linksCheckedAt = now
 		c.closeSilentLinks(now)
-		c.pullCatalog(now)
+		c.syncCatalog(now)
 	}
 	c.scheduler.Advance(now)
 	c.flush(now)
+	c.sendChunks(now)
 	if checkLinks {
 		c.sendHeartbeats(now)
 		c.entry.availableAgents.Store(int64(c.scheduler.AvailableAgents("")))
@@ -201,11 +196,37 @@
 		a.idleEndedAt = now
 	}
 	a.busy = c.scheduler.HasOpenOffers(a.id)
-	c.send(a, &m)
+	for _, part := range splitOffers(m) {
+		c.send(a, &part)
+	}
+}
+
+// maxMessageBytes is the size in bytes from which a message is split. A larger one delays what is sent behind it, and its parts
+// show the agent earlier that the link works.
+const maxMessageBytes = 12 << 10
+
+// splitOffers splits a message whose offers exceed maxMessageBytes together. Only the first part has the other fields that are
+// not times.
+func splitOffers(m wire.Offers) []wire.Offers {
+	var parts []wire.Offers
+	for {
+		size, n := 0, 0
+		for n < len(m.Offers) && (n == 0 || size+m.Offers[n].EncodedBytes() <= maxMessageBytes) {
+			size += m.Offers[n].EncodedBytes()
+			n++
+		}
+		part := m
+		part.Offers = m.Offers[:n]
+		parts = append(parts, part)
+		if n == len(m.Offers) {
+			return parts
+		}
+		m = wire.Offers{SentMicros: m.SentMicros, LastReceivedMicros: m.LastReceivedMicros, Offers: m.Offers[n:]}
+	}
 }
 
 func (c *control) send(a *agentConn, m wire.Message) {
-	if a.link == nil {
+	if a == nil || a.link == nil {
 		return
 	}
 	if err := a.link.Send(m); err != nil {
@@ -295,30 +316,6 @@
 	c.scheduler.Cancel(now, e.job)
 }
 
-func (e catalogRead) apply(c *control, _ time.Time) { c.applyCatalog(e.catalog, "store") }
-
-// applyCatalog puts a newer configuration into force and sends it to the agents.
-func (c *control) applyCatalog(next *catalog.Catalog, source string) {
-	if !next.Newer(c.entry.Catalog()) {
-		return
-	}
-	body, err := catalog.Encode(next)
-	if err != nil {
-		c.log.WithError(err).Error("entry: cannot encode the new catalog, keeping the present one")
-		return
-	}
-	c.log.WithFields(log.Fields{
-		"version": next.Version, "former": catalog.VersionOf(c.entry.Catalog()), "queues": len(next.Queues), "source": source,
-	}).Info("entry: configuration is in force")
-	c.entry.catalog.Store(next)
-	c.encodedCatalog = body
-	for _, a := range c.agents {
-		if a.catalogVersion < next.Version {
-			c.send(a, &wire.CatalogPush{Version: next.Version, Body: body})
-		}
-	}
-}
-
 func (e entriesRead) apply(c *control, _ time.Time) {
 	c.addresses = e.addresses
 	c.broadcastAddresses()
@@ -337,9 +334,28 @@
 }
 
 func (c *control) sendAddresses(a *agentConn) {
-	addresses := append(slices.Clone(c.addresses), c.seeds...)
-	slices.Sort(addresses)
-	if addresses = slices.Compact(addresses); len(addresses) > 0 {
+	if addresses := mergeAddresses(c.seeds, c.addresses); len(addresses) > 0 {
 		c.send(a, &wire.EntryAddresses{Addresses: addresses})
 	}
 }
+
+// mergeAddresses returns the distinct addresses of both lists, as far as they fit into one message. Other clients of the store
+// can write any number of addresses, so the seeds come first.
+func mergeAddresses(seeds, announced []string) []string {
+	var merged []string
+	size, known := 0, make(map[string]bool)
+	for _, address := range slices.Concat(seeds, announced) {
+		if known[address] {
+			continue
+		}
+		if size += len(address) + addressOverhead; size > maxMessageBytes {
+			break
+		}
+		known[address] = true
+		merged = append(merged, address)
+	}
+	return merged
+}
+
+// addressOverhead is the size in bytes of an encoded address besides its text.
+const addressOverhead = 3
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -48,8 +48,11 @@
 	// LinkAddress is the host:port on which agents open links.
 	LinkAddress string
 	LinkToken   string
-	Log         log.Interface
-	Clock       clock.Clock
+	// CatalogBytesPerSecond bounds the rate at which the entry sends the configuration to agents; 0 means
+	// catalogsync.DefaultRate.
+	CatalogBytesPerSecond float64
+	Log                   log.Interface
+	Clock                 clock.Clock
 	// Metrics are updated by the entry; nil means that they are not published.
 	Metrics *Metrics
 }
@@ -161,9 +164,6 @@
 // Catalog returns the configuration in force, or nil before the first one.
 func (e *Entry) Catalog() *catalog.Catalog { return e.catalog.Load() }
 
-// SetCatalog passes a configuration from the store. It is ignored unless it is newer than the one in force.
-func (e *Entry) SetCatalog(c *catalog.Catalog) { e.post(catalogRead{catalog: c}) }
-
 // SetEntries sets the link addresses of all announced entries, which the entry sends to its agents.
 func (e *Entry) SetEntries(addresses []string) { e.post(entriesRead{addresses: addresses}) }
 
--- a/internal/jobentry/jobquery.go
+++ b/internal/jobentry/jobquery.go
@@ -16,6 +16,9 @@
 	// maxQueryAgents is the number of agents that pass a query on, because one of them can lack a link to the entry that has the
 	// job.
 	maxQueryAgents = 3
+	// maxQueriedID is the longest id in bytes that is asked for. It is the default limit of the header section of a request, and
+	// agents pass a query on to all entries.
+	maxQueriedID = 16 << 10
 )
 
 // HasOpenJob reports whether a job with the id is open at this entry or at another one in contact.
@@ -38,6 +41,9 @@
 // askOtherEntries sends a query to the other entries, through agents, because entries have no links to each other. It returns whether
 // one of them has the job.
 func (e *Entry) askOtherEntries(ctx context.Context, q wire.JobQuery) bool {
+	if len(q.Job) > maxQueriedID {
+		return false
+	}
 	q.Number = e.lastJobQuery.Add(1)
 	replied := make(chan struct{}, 1)
 	e.post(query{run: func(c *control, _ time.Time) { c.sendJobQuery(q, replied) }, done: make(chan struct{})})
--- a/internal/jobentry/metrics.go
+++ b/internal/jobentry/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"time"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/catalogsync"
 	"github.com/coltsfootspur/coltsfootspur/internal/metrics"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
 )
@@ -15,6 +16,10 @@
 	// Complete, Failed, NotRun and GivenUp count answers, CallersLeft the jobs that were cancelled because their callers
 	// disconnected.
 	Complete, Failed, NotRun, GivenUp, CallersLeft expvar.Int
+	// MalformedConfigurations counts values of the operator's key that were ignored.
+	MalformedConfigurations expvar.Int
+	// Catalog counts transfers of the configuration.
+	Catalog catalogsync.Metrics
 	// AnswerMillis is the distribution of the time from arrival to answer of complete jobs, in milliseconds.
 	AnswerMillis *metrics.Histogram
 	// OfferMillis is the distribution of the time from arrival to the first offer, in milliseconds.
@@ -36,6 +41,8 @@
 	vars.Set("jobs_not_run", &m.NotRun)
 	vars.Set("jobs_given_up", &m.GivenUp)
 	vars.Set("callers_left", &m.CallersLeft)
+	vars.Set("malformed_configurations", &m.MalformedConfigurations)
+	m.Catalog.AddTo(vars)
 	vars.Set("answer_ms", m.AnswerMillis)
 	vars.Set("first_offer_ms", m.OfferMillis)
 	return vars
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -38,11 +38,13 @@
 	TypeOffers         Type = 27
 	TypeRunReport      Type = 28
 	TypeHeartbeat      Type = 29
-	TypeCatalogPush    Type = 30
+	// 30 and 32 carried the whole configuration in one message and its request.
 	TypeEntryAddresses Type = 31
-	TypeCatalogPull    Type = 32
 	TypeJobQuery       Type = 33
 	TypeJobReply       Type = 34
+	TypeCatalogNotice  Type = 35
+	TypeCatalogPull    Type = 36
+	TypeCatalogChunk   Type = 37
 )
 
 // MaxFrame is the largest frame in bytes that a process sends or accepts.
@@ -201,8 +203,10 @@
 		return new(RunReport)
 	case TypeHeartbeat:
 		return new(Heartbeat)
-	case TypeCatalogPush:
-		return new(CatalogPush)
+	case TypeCatalogNotice:
+		return new(CatalogNotice)
+	case TypeCatalogChunk:
+		return new(CatalogChunk)
 	case TypeEntryAddresses:
 		return new(EntryAddresses)
 	case TypeCatalogPull:
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -47,6 +47,14 @@
 	Label string `cbor:"17,keyasint,omitempty"`
 }
 
+// offerOverhead is the largest size in bytes of an encoded offer besides its texts.
+const offerOverhead = 128
+
+// EncodedBytes returns an upper bound of the size of the encoded offer.
+func (o *Offer) EncodedBytes() int {
+	return len(o.Job) + len(o.Payload) + len(o.Service) + len(o.Label) + offerOverhead
+}
+
 // Offers carries new offers and withdrawals of earlier ones from an entry to an agent.
 type Offers struct {
 	// SentMicros is the monotonic time of the sender in microseconds. With it the receiver detects delayed messages.
@@ -137,13 +145,27 @@
 	IdleIntervalMillis uint32 `cbor:"5,keyasint,omitempty"`
 }
 
-// CatalogPull requests the configuration from an agent whose Heartbeat announces a newer version.
-type CatalogPull struct{}
+// CatalogNotice tells an agent that the sender has a newer version of the configuration, which the agent should pull.
+type CatalogNotice struct {
+	Version uint64   `cbor:"1,keyasint"`
+	Digest  [32]byte `cbor:"2,keyasint"` // SHA-256 of the encoded configuration
+	Size    uint32   `cbor:"3,keyasint"` // of the encoded configuration in bytes
+}
 
-// CatalogPush sends the configuration to a process that has an older version.
-type CatalogPush struct {
+// CatalogPull requests the chunk of the encoded configuration at an offset.
+type CatalogPull struct {
 	Version uint64 `cbor:"1,keyasint"`
-	Body    []byte `cbor:"2,keyasint"` // CBOR of catalog.Catalog
+	Offset  uint32 `cbor:"2,keyasint,omitempty"`
+}
+
+// CatalogChunk answers a CatalogPull. A sender that has a newer version answers with the first chunk of that one. A sender that
+// has an older version or none answers with that version, 0 for none, and without a body.
+type CatalogChunk struct {
+	Version uint64   `cbor:"1,keyasint"`
+	Digest  [32]byte `cbor:"2,keyasint"`
+	Size    uint32   `cbor:"3,keyasint,omitempty"`
+	Offset  uint32   `cbor:"4,keyasint,omitempty"`
+	Body    []byte   `cbor:"5,keyasint,omitempty"`
 }
 
 // EntryAddresses lists for an agent the addresses on which entries accept links.
@@ -188,7 +210,10 @@
 func (*CatalogPull) Type() Type { return TypeCatalogPull }
 
 // Type implements Message.
-func (*CatalogPush) Type() Type { return TypeCatalogPush }
+func (*CatalogNotice) Type() Type { return TypeCatalogNotice }
+
+// Type implements Message.
+func (*CatalogChunk) Type() Type { return TypeCatalogChunk }
 
 // Type implements Message.
 func (*EntryAddresses) Type() Type { return TypeEntryAddresses }
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -40,6 +40,9 @@
 	// Worker is the worker beside the agent.
 	Worker    runs.Worker
 	LinkToken string
+	// CatalogBytesPerSecond bounds the rate at which the agent sends the configuration to entries; 0 means
+	// catalogsync.DefaultRate.
+	CatalogBytesPerSecond float64
 	// MaxLease is the longest lease that the worker grants; 0, or a longer one, means runs.LeaseDuration.
 	MaxLease time.Duration
 	// StopTimeout bounds the wait for active runs during a graceful shutdown.
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -6,7 +6,7 @@
 
 	"github.com/apex/log"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
+	"github.com/coltsfootspur/coltsfootspur/internal/catalogsync"
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/runs"
@@ -33,7 +33,7 @@
 	owners   map[runs.Owner]*owner
 	diallers *diallerSet
 
-	catalog      *catalog.Catalog
+	catalogs     catalogState
 	loadDirty    bool
 	lastLoadOpen bool // whether the last load that was passed to the owners was open for new tasks
 	// linksCheckedAt is when the links of all entries were last checked; zero after a new link has to be reported to at once.
@@ -44,6 +44,7 @@
 func newControl(a *Agent) *control {
 	c := &control{
 		agent: a, log: a.options.Log, table: runs.NewTable(runs.DefaultConfig()), owners: make(map[runs.Owner]*owner),
+		catalogs: newCatalogState(a.options.CatalogBytesPerSecond),
 	}
 	c.worker = newWorkerClient(c)
 	c.diallers = newDiallerSet(a)
@@ -86,7 +87,9 @@
 	c.worker.pollIfDue(now)
 	checkLinks = checkLinks || c.linksCheckedAt.IsZero()
 	c.flush(now, checkLinks)
+	c.sendChunks(now)
 	if checkLinks {
+		c.syncCatalog(now)
 		c.sendHeartbeats(now)
 	}
 	if c.drained != nil && c.table.Idle() {
@@ -193,6 +196,10 @@
 		"worker": a.ID, "born": a.StartedMillis, "service": a.Service, "draining": a.Draining,
 		"milli_cpu": a.Capacity.MilliCPU, "sequence": a.Sequence,
 	}).Info("agent: worker announced itself")
+	if reported := boundLabels(a.Labels); len(reported) < len(a.Labels) {
+		c.log.WithFields(log.Fields{"worker": a.ID, "labels": len(a.Labels), "reported": len(reported)}).
+			Warn("agent: worker has too many labels, the others are not reported to entries")
+	}
 	c.reportWorkerInfo()
 }
 
@@ -227,12 +234,12 @@
 // version of the catalog.
 func (c *control) sendHeartbeats(now time.Time) {
 	for id, o := range c.owners {
-		if o.link == nil || now.Sub(o.echoSentAt) < o.heartbeatInterval(c.table.AwaitsResult(id)) {
+		if o.link == nil || !o.versionPending && now.Sub(o.echoSentAt) < o.heartbeatInterval(c.table.AwaitsResult(id)) {
 			continue
 		}
-		o.echoSentAt = now
+		o.echoSentAt, o.versionPending = now, false
 		o.send(&wire.Heartbeat{
-			SentMicros: clock.BootMicros(now), LastReceivedMicros: o.lastReceivedMicros, CatalogVersion: catalog.VersionOf(c.catalog),
+			SentMicros: clock.BootMicros(now), LastReceivedMicros: o.lastReceivedMicros, CatalogVersion: catalogsync.VersionOf(c.catalogs.snapshot),
 		})
 	}
 }
@@ -252,20 +259,6 @@
 	return min(max(requested, runs.HeartbeatInterval), runs.MaxIdleHeartbeatInterval)
 }
 
-// sendCatalog sends the catalog to an entry that requests it, for example because the entry cannot reach the store.
-func (c *control) sendCatalog(o *owner) {
-	if c.catalog == nil {
-		return
-	}
-	body, err := catalog.Encode(c.catalog)
-	if err != nil {
-		c.log.WithError(err).Error("agent: cannot encode the catalog for an entry that requests it")
-		return
-	}
-	c.log.WithFields(log.Fields{"entry": o.id, "version": c.catalog.Version}).Info("agent: catalog relayed to an entry with an older one")
-	o.send(&wire.CatalogPush{Version: c.catalog.Version, Body: body})
-}
-
 // dropSilentOwners ends the runs of entries that have been out of contact for their timeout.
 func (c *control) dropSilentOwners(now time.Time) {
 	for id, o := range c.owners {
@@ -281,6 +274,7 @@
 
 func (c *control) dropOwner(now time.Time, id runs.Owner, o *owner) {
 	delete(c.owners, id)
+	c.catalogs.sender.RemovePeer(id)
 	c.table.DropOwner(now, id, o.lastContact().Add(runs.RunsEndedAfter))
 	if o.link != nil {
 		o.link.Close(link.ErrSilent)
--- a/internal/workeragent/metrics.go
+++ b/internal/workeragent/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"sync/atomic"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/catalogsync"
 	"github.com/coltsfootspur/coltsfootspur/internal/metrics"
 	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -22,6 +23,8 @@
 	// AnnouncementsNotInForce counts announcements that were outdated or of another incarnation than the one that answers,
 	// WorkerIncarnations the incarnations of the worker that have answered a poll.
 	AnnouncementsNotInForce, WorkerIncarnations expvar.Int
+	// Catalog counts transfers of the configuration.
+	Catalog catalogsync.Metrics
 	// RunMillis is the distribution of the run times of completed tasks, in milliseconds.
 	RunMillis *metrics.Histogram
 }
@@ -44,6 +47,7 @@
 	vars.Set("leases_withheld", &m.LeasesWithheld)
 	vars.Set("announcements_not_in_force", &m.AnnouncementsNotInForce)
 	vars.Set("worker_incarnations", &m.WorkerIncarnations)
+	m.Catalog.AddTo(vars)
 	vars.Set("run_ms", m.RunMillis)
 	return vars
 }
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -5,7 +5,6 @@
 
 	"github.com/apex/log"
 
-	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/runs"
@@ -41,6 +40,9 @@
 	loadSentAt   time.Time
 	loadPending  bool
 	infoPending  bool
+	// versionPending is set when the version of the agent's configuration has to be reported at once.
+	versionPending bool
+	notice         *wire.CatalogNotice // the last one on the link; nil if there was none
 	// loadInterval is the shortest interval between two load reports without ends. The entry sets it.
 	loadInterval  time.Duration
 	pendingReport wire.RunReport
@@ -81,17 +83,40 @@
 	if !mustSend && (!o.loadPending || now.Sub(o.loadSentAt) < o.loadInterval) {
 		return
 	}
+	for len(o.pendingReport.Ends) > maxEndsPerReport {
+		o.send(&wire.RunReport{SentMicros: clock.BootMicros(now), Ends: o.pendingReport.Ends[:maxEndsPerReport]})
+		o.pendingReport.Ends = o.pendingReport.Ends[maxEndsPerReport:]
+	}
 	report := o.pendingReport
 	o.pendingReport = wire.RunReport{}
 	o.loadPending, o.loadSentAt, o.echoSentAt = false, now, now
 	load.Seen = o.highestOffer
 	report.Load, report.SentMicros = &load, clock.BootMicros(now)
 	if o.infoPending {
+		info.Labels = boundLabels(info.Labels)
 		report.Info, o.infoPending = &info, false
 	}
 	o.send(&report)
 }
 
+const (
+	// maxEndsPerReport is the number of ends in one message. An end has up to 250 bytes, most of them its reason.
+	maxEndsPerReport = 48
+	// maxLabelBytes is the size of the labels of a worker that are reported. An announcement can have up to 4 MiB.
+	maxLabelBytes = 8 << 10
+)
+
+// boundLabels returns the first labels that have maxLabelBytes together.
+func boundLabels(labels []string) []string {
+	size := 0
+	for i, label := range labels {
+		if size += len(label) + 1; size > maxLabelBytes {
+			return labels[:i]
+		}
+	}
+	return labels
+}
+
 // excessDelay records the arrival of a message and returns by how much its delay exceeds that of the fastest one on the link.
 func (o *owner) excessDelay(at time.Time, sentMicros int64) time.Duration {
 	delay := clock.BootMicros(at) - sentMicros
@@ -158,6 +183,8 @@
 		o.link.Close(link.ErrClosed)
 	}
 	o.link, o.hasMinDelay, o.loadPending, o.infoPending, o.loadSentAt = e.link, false, true, true, time.Time{}
+	o.versionPending, o.notice = true, nil
+	c.catalogs.sender.RemovePeer(id)
 	c.linksCheckedAt = time.Time{}
 	o.echoedAt = maxTime(o.echoedAt, e.dialled) // the handshake proves that the entry was in contact when it began
 	c.log.WithFields(log.Fields{"entry": o.id, "incarnation": hello.Incarnation}).Info("agent: link to an entry is open")
@@ -201,10 +228,12 @@
 		o.recordTimes(m.SentMicros, m.LastReceivedMicros)
 		o.loadInterval = loadInterval(time.Duration(m.LoadIntervalMillis) * time.Millisecond)
 		o.idleInterval = idleInterval(time.Duration(m.IdleIntervalMillis) * time.Millisecond)
-	case *wire.CatalogPush:
-		c.applyCatalog(o, m)
+	case *wire.CatalogNotice:
+		o.notice = m
 	case *wire.CatalogPull:
-		c.sendCatalog(o)
+		c.catalogs.sender.AddPull(id, m)
+	case *wire.CatalogChunk:
+		c.applyChunk(now, id, o, m)
 	case *wire.EntryAddresses:
 		c.diallers.add(m.Addresses)
 	case *wire.JobQuery:
@@ -271,21 +300,3 @@
 	}
 	return wire.RunEnd{Number: number, Outcome: wire.RunStopped, Reason: "the offer is not known to the agent"}
 }
-
-// applyCatalog stores a newer catalog and sends its version to all entries with the next heartbeat, so that they can request
-// it.
-func (c *control) applyCatalog(o *owner, m *wire.CatalogPush) {
-	if m.Version <= catalog.VersionOf(c.catalog) {
-		return
-	}
-	decoded, err := catalog.Decode(m.Body)
-	if err != nil {
-		c.log.WithError(err).Error("agent: cannot decode the catalog of an entry, keeping the present one")
-		return
-	}
-	c.catalog = decoded
-	for _, other := range c.owners {
-		other.echoSentAt = time.Time{}
-	}
-	c.log.WithFields(log.Fields{"entry": o.id, "version": decoded.Version}).Info("agent: catalog received")
-}
