--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -49,7 +49,7 @@
 
 // Guards against a decoder that panics or accepts an empty or unknown frame.
 func FuzzDecode(f *testing.F) {
-	for _, m := range []wire.Message{&wire.Hello{ID: "a"}, &wire.Start{Body: []byte("x")}, &wire.Leaving{}, &wire.EntryList{Version: 1}} {
+	for _, m := range []wire.Message{&wire.Hello{ID: "a"}, &wire.Start{Body: []byte("x")}, &wire.Leaving{}, &wire.EntryList{Version: 1}, &wire.CatalogNotice{Version: 1}, &wire.CatalogPull{Offset: 1}, &wire.CatalogChunk{Size: 1, Body: []byte("x")}} {
 		frame, err := wire.Encode(m)
 		if err != nil {
 			f.Fatal(err)
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -83,10 +83,6 @@
 	if !mustSend && (!o.loadPending || now.Sub(o.loadSentAt) < o.loadInterval) {
 		return
 	}
-	for len(o.pendingReport.Ends) > maxEndsPerReport {
-		o.send(&wire.RunReport{SentMicros: clock.BootMicros(now), Ends: o.pendingReport.Ends[:maxEndsPerReport]})
-		o.pendingReport.Ends = o.pendingReport.Ends[maxEndsPerReport:]
-	}
 	report := o.pendingReport
 	o.pendingReport = wire.RunReport{}
 	o.loadPending, o.loadSentAt, o.echoSentAt = false, now, now
@@ -96,12 +92,26 @@
 		info.Labels = boundLabels(info.Labels)
 		report.Info, o.infoPending = &info, false
 	}
-	o.send(&report)
+	for _, part := range splitReport(report) {
+		o.send(&part)
+	}
+}
+
+// splitReport splits a report with more than maxEndsPerReport ends. Only the last part has the other fields that are not times,
+// because the load includes all ends.
+func splitReport(r wire.RunReport) []wire.RunReport {
+	var parts []wire.RunReport
+	for len(r.Ends) > maxEndsPerReport {
+		parts = append(parts, wire.RunReport{SentMicros: r.SentMicros, Ends: r.Ends[:maxEndsPerReport]})
+		r.Ends = r.Ends[maxEndsPerReport:]
+	}
+	return append(parts, r)
 }
 
 const (
-	// maxEndsPerReport is the number of ends in one message. An end has up to 250 bytes, most of them its reason.
-	maxEndsPerReport = 48
+	// maxEndsPerReport is the number of ends in one message. An end has up to 250 bytes, most of them its reason, and labels can
+	// be in the same message.
+	maxEndsPerReport = 24
 	// maxLabelBytes is the size of the labels of a worker that are reported. An announcement can have up to 4 MiB.
 	maxLabelBytes = 8 << 10
 )
