--- a/internal/runs/health.go
+++ b/internal/runs/health.go
@@ -84,10 +84,12 @@
 type health struct {
 	config              Config
 	consecutiveFailures int
-	progressedAt        time.Time // when a snapshot last showed progress of a run
-	snapshotAt          time.Time // when the last snapshot arrived
-	backoffUntil        time.Time
-	onProbation         bool
+	// lastFailedStart is the latest start of a run that has failed. Only a run that started later shows that the worker is sound.
+	lastFailedStart time.Time
+	progressedAt    time.Time // when a snapshot last showed progress of a run
+	snapshotAt      time.Time // when the last snapshot arrived
+	backoffUntil    time.Time
+	onProbation     bool
 }
 
 // admits reports whether the worker may take a task in addition to those it has. A healthy worker takes any number. A worker
@@ -100,14 +102,26 @@
 	h.onProbation, h.backoffUntil, h.progressedAt = true, now.Add(d), now
 }
 
-func (h *health) recordFailure(now time.Time) {
+// recordFailure records the failure of a run that was started at a time. It returns whether the worker is on probation because
+// of it.
+func (h *health) recordFailure(now, startedAt time.Time) bool {
+	if startedAt.After(h.lastFailedStart) {
+		h.lastFailedStart = startedAt
+	}
 	h.consecutiveFailures++
-	if h.consecutiveFailures >= maxConsecutiveFailures {
-		h.startProbation(now, h.config.FailureBackoff)
+	if h.consecutiveFailures < maxConsecutiveFailures {
+		return false
 	}
+	h.startProbation(now, h.config.FailureBackoff)
+	return true
 }
 
-func (h *health) recordSuccess() {
+// recordSuccess records the success of a run that was started at a time. A run that started before the last one that failed proves
+// nothing: a worker that has begun to fail all new runs completes the earlier ones, and looks idle because the new ones end soon.
+func (h *health) recordSuccess(startedAt time.Time) {
+	if startedAt.Before(h.lastFailedStart) {
+		return
+	}
 	h.consecutiveFailures, h.onProbation = 0, false
 }
 
--- a/internal/runs/results.go
+++ b/internal/runs/results.go
@@ -24,7 +24,7 @@
 	case errors.Is(err, ErrNoCapacity), errors.Is(err, ErrWorkerRestarted), errors.Is(err, ErrNotListening):
 		t.endOffer(now, r, wire.RunNotStarted, err.Error())
 	case errors.Is(err, ErrUnhealthy):
-		t.health.recordFailure(now)
+		t.recordFailure(now, r)
 		t.endOffer(now, r, wire.RunNotStarted, err.Error())
 	default:
 		t.stopUnconfirmed(now, r)
@@ -138,10 +138,10 @@
 		if !t.isSlow() {
 			t.learned.learn(time.Duration(r.offer.EstimateMillis)*time.Millisecond, now.Sub(r.startedAt))
 		}
-		t.health.recordSuccess()
+		t.health.recordSuccess(r.startedAt)
 		t.endOffer(now, r, wire.RunDone, "")
 	case EndFailed:
-		t.health.recordFailure(now)
+		t.recordFailure(now, r)
 		t.endOffer(now, r, wire.RunFailed, "the task failed")
 	default:
 		reason := r.stopReason
@@ -152,6 +152,13 @@
 	}
 }
 
+// recordFailure records a failed run. If that puts the worker on probation, the waiting tasks return to their entries.
+func (t *Table) recordFailure(now time.Time, r *run) {
+	if t.health.recordFailure(now, r.startedAt) {
+		t.returnWaiting(now, "the worker is on trial")
+	}
+}
+
 // measureProgress returns the estimated run time that a run has completed since the last snapshot and the time that it took,
 // both in milliseconds.
 func (t *Table) measureProgress(now time.Time, listed Running) (work, elapsed float64) {
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -142,12 +142,13 @@
 func (s *Scheduler) chooseAgent(now time.Time, t *task) *agent {
 	dueAt := t.latestStart.Add(t.step.Estimate)
 	skipAvoided := len(t.avoidAgents) > 0 && s.hasAlternative(t)
+	skipTrials := t.failures > 0 && s.hasSoundWorker(t)
 	staleAfter := s.staleAfter()
 	var best, bestLate *agent
 	bestTime, bestLateTime := time.Duration(0), time.Duration(0)
 	canWait := false // some worker would be fast enough if the task started now
 	for _, a := range s.agentList {
-		if !s.canRun(a, t) || skipAvoided && slices.Contains(t.avoidAgents, a.id) {
+		if !s.canRun(a, t) || skipAvoided && slices.Contains(t.avoidAgents, a.id) || skipTrials && a.load.Trial {
 			continue
 		}
 		runTime := time.Duration(float64(t.step.Estimate) * a.slowdown())
@@ -190,6 +191,17 @@
 	return false
 }
 
+// hasSoundWorker reports whether a worker that is not on probation could run the task. A task that has failed does not go to one on
+// probation then: its attempts are limited, and a worker that fails everything would use up the last one.
+func (s *Scheduler) hasSoundWorker(t *task) bool {
+	for _, a := range s.agentList {
+		if s.canRun(a, t) && !a.load.Trial {
+			return true
+		}
+	}
+	return false
+}
+
 // canRun reports whether the agent takes work and its worker meets the requirements of the task.
 func (s *Scheduler) canRun(a *agent, t *task) bool {
 	if !a.linked || !a.hasLoad || !a.load.Open || a.worker.Service != t.job.Queue.Service {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -383,3 +383,26 @@
 		s.Advance(now)
 	}
 }
+
+// Guards against the last attempt of a task at a worker on probation, which fails everything more often than not.
+func TestFailedTaskDoesNotGoToAWorkerOnProbation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for range 20 { // the choice among the workers is random
+		s := withAgents(16, 16, 16)
+		onProbation := load(16)
+		onProbation.Trial = true
+		s.ReportLoad(start, "b", onProbation)
+		s.ReportLoad(start, "c", wire.WorkerLoad{Open: true, FreeMilliCPU: -1000, RemainingMillis: 5, SlownessPermille: 1000})
+		s.Submit(start, newJob("j", 1, queue(0, 2)))
+		offers, _ := s.TakeOutput()
+		g.Expect(offers).To(gomega.HaveLen(1))
+		if offers[0].Agent != "a" {
+			continue
+		}
+		s.HandleRunEnd(start, "a", wire.RunEnd{Number: offers[0].Offer.Number, Outcome: wire.RunFailed, Attempt: 1})
+		s.Advance(start)
+		offers, _ = s.TakeOutput()
+		g.Expect(offers).To(gomega.HaveLen(1))
+		g.Expect(offers[0].Agent).To(gomega.Equal(scheduler.AgentID("c")), "the only sound worker that has not failed the task")
+	}
+}
