--- a/internal/jobentry/agents.go
+++ b/internal/jobentry/agents.go
@@ -7,6 +7,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
@@ -30,11 +31,13 @@
 	sameProcess := a.incarnation == hello.Incarnation
 	a.link, a.incarnation, a.lastReceivedAt, a.lastReceivedMicros = e.link, hello.Incarnation, now, 0
 	a.catalogVersion, a.pending, a.echoSentAt, a.idleEndedAt = 0, wire.Offers{}, time.Time{}, time.Time{}
+	a.evacuation = evacuation.Peer{}
 	c.log.WithFields(log.Fields{
 		"agent": id, "incarnation": hello.Incarnation, "data_centre": hello.DataCentre, "same_process": sameProcess,
 	}).Info("entry: link to an agent is open")
 	c.scheduler.AgentConnected(now, id, hello.Incarnation, hello.DataCentre)
 	a.busy = c.scheduler.HasOpenOffers(id)
+	c.sendEvacuation(now, a) // before any offer
 	c.send(a, &wire.Offers{SentMicros: clock.BootMicros(now), Resume: true, Outstanding: c.scheduler.OutstandingOffers(id)})
 	if c.encodedCatalog != nil {
 		c.send(a, &wire.CatalogPush{Version: catalog.VersionOf(c.entry.Catalog()), Body: c.encodedCatalog})
@@ -104,7 +107,7 @@
 		c.send(a, &wire.Heartbeat{
 			SentMicros: clock.BootMicros(now), LastReceivedMicros: a.lastReceivedMicros, CatalogVersion: catalog.VersionOf(c.entry.Catalog()),
 			LoadIntervalMillis: uint32(len(c.agents)) * 1000 / maxLoadReportsPerSecond,
-			IdleIntervalMillis: uint32(idleInterval.Milliseconds()),
+			IdleIntervalMillis: uint32(idleInterval.Milliseconds()), EvacuationRevision: c.evacuation.State().Revision,
 		})
 	}
 }
@@ -126,6 +129,9 @@
 		c.applyReport(now, a, m)
 	case *wire.Heartbeat:
 		a.lastReceivedMicros, a.catalogVersion = m.SentMicros, m.CatalogVersion
+		a.evacuation.HeardRevision(m.EvacuationRevision)
+	case *wire.Evacuations:
+		c.applyReceivedEvacuation(now, a, m)
 	case *wire.CatalogPush:
 		c.applyPushedCatalog(a, m)
 	case *wire.JobQuery:
--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -70,6 +71,7 @@
 	catalogBehindSince, catalogPulledAt time.Time
 	// linksCheckedAt is when the links of all agents were last checked.
 	linksCheckedAt time.Time
+	evacuation     evacuation.Tracker // the operator's requests to evacuate data centres
 	// jobQueries holds the queries to other entries that wait for a reply, by number.
 	jobQueries map[uint64]chan<- struct{}
 	// refusingJobs is true at the end of a planned stop: new jobs are answered with NotRun.
@@ -88,6 +90,7 @@
 	busy           bool
 	idleEndedAt    time.Time
 	catalogVersion uint64 // version of the agent's catalog
+	evacuation     evacuation.Peer
 	pending        wire.Offers
 }
 
@@ -157,6 +160,8 @@
 	c.flush(now)
 	if checkLinks {
 		c.sendHeartbeats(now)
+		c.sendEvacuations(now)
+		c.entry.onlyEvacuated.Store(c.scheduler.HoldsOnlyEvacuated())
 		c.entry.availableAgents.Store(int64(c.scheduler.AvailableAgents("")))
 	}
 }
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -64,6 +64,7 @@
 	listener        net.Listener
 	catalog         atomic.Pointer[catalog.Catalog]
 	availableAgents atomic.Int64 // linked agents whose workers take tasks
+	onlyEvacuated   atomic.Bool  // see scheduler.HoldsOnlyEvacuated
 	lastJobQuery    atomic.Uint64
 	control         *control
 	overload        overload
@@ -171,9 +172,10 @@
 func (e *Entry) SetSeeds(addresses []string) { go e.post(seedsRead{addresses: addresses}) }
 
 // Ready reports whether the entry can serve more jobs: it has a configuration, at least one linked worker takes tasks, and
-// the entry is neither overloaded nor hung.
+// the entry is neither overloaded nor hung. If all workers are in evacuated data centres, no other entry can serve more, and the
+// entry stays ready to refuse jobs with a reason.
 func (e *Entry) Ready() bool {
-	return e.Catalog() != nil && e.availableAgents.Load() > 0 && !e.overload.busy.Load() && !e.overload.isHung(e.Now())
+	return e.Catalog() != nil && (e.availableAgents.Load() > 0 || e.onlyEvacuated.Load()) && !e.overload.busy.Load() && !e.overload.isHung(e.Now())
 }
 
 // Submission is a job together with the properties of the request that carried it.
--- a/internal/jobentry/metrics.go
+++ b/internal/jobentry/metrics.go
@@ -2,8 +2,10 @@
 
 import (
 	"expvar"
+	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/metrics"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
 )
@@ -15,6 +17,10 @@
 	// Complete, Failed, NotRun and GivenUp count answers, CallersLeft the jobs that were cancelled because their callers
 	// disconnected.
 	Complete, Failed, NotRun, GivenUp, CallersLeft expvar.Int
+	// EvacuationChanges counts changes of the set of evacuated data centres, EvacuationKeysInvalid the invalid keys that request
+	// an evacuation in the store, each once for each of its revisions.
+	EvacuationChanges, EvacuationKeysInvalid expvar.Int
+	evacuation                               atomic.Pointer[evacuation.Summary]
 	// AnswerMillis is the distribution of the time from arrival to answer of complete jobs, in milliseconds.
 	AnswerMillis *metrics.Histogram
 	// OfferMillis is the distribution of the time from arrival to the first offer, in milliseconds.
@@ -23,7 +29,9 @@
 
 // NewMetrics returns metrics at zero.
 func NewMetrics() *Metrics {
-	return &Metrics{AnswerMillis: metrics.NewHistogram(), OfferMillis: metrics.NewHistogram()}
+	m := &Metrics{AnswerMillis: metrics.NewHistogram(), OfferMillis: metrics.NewHistogram()}
+	m.setEvacuation(evacuation.Summary{DataCentres: []evacuation.DataCentre{}})
+	return m
 }
 
 // Vars returns the metrics under the names by which they are published.
@@ -36,11 +44,16 @@
 	vars.Set("jobs_not_run", &m.NotRun)
 	vars.Set("jobs_given_up", &m.GivenUp)
 	vars.Set("callers_left", &m.CallersLeft)
+	vars.Set("evacuation", expvar.Func(func() any { return m.evacuation.Load() }))
+	vars.Set("evacuation_changes", &m.EvacuationChanges)
+	vars.Set("evacuation_keys_invalid", &m.EvacuationKeysInvalid)
 	vars.Set("answer_ms", m.AnswerMillis)
 	vars.Set("first_offer_ms", m.OfferMillis)
 	return vars
 }
 
+func (m *Metrics) setEvacuation(s evacuation.Summary) { m.evacuation.Store(&s) }
+
 func (m *Metrics) recordAnswer(a scheduler.Answer, now time.Time) {
 	if !a.Job.FirstOffer.IsZero() {
 		m.OfferMillis.Observe(a.Job.FirstOffer.Sub(a.Job.Arrived).Milliseconds())
--- a/internal/jobentry/queries.go
+++ b/internal/jobentry/queries.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
 )
 
@@ -68,13 +69,15 @@
 	Open    int                      `json:"open_jobs"`
 	Waiting int                      `json:"waiting_tasks"`
 	Agents  []scheduler.AgentSummary `json:"agents"`
+	// Evacuation holds the evacuated data centres.
+	Evacuation evacuation.Summary `json:"evacuation"`
 }
 
 // Dump returns the state of the entry, or false if ctx ends first or the entry has stopped.
 func (e *Entry) Dump(ctx context.Context) (State, bool) {
 	s := make(chan State, 1)
 	ok := e.runInControl(ctx, func(c *control, _ time.Time) {
-		state := State{ID: e.options.ID, Open: c.scheduler.OpenJobs(), Waiting: c.scheduler.WaitingTasks(), Agents: c.scheduler.Agents()}
+		state := State{ID: e.options.ID, Open: c.scheduler.OpenJobs(), Waiting: c.scheduler.WaitingTasks(), Agents: c.scheduler.Agents(), Evacuation: c.evacuation.Summary()}
 		if config := e.Catalog(); config != nil {
 			state.Catalog = config.Version
 		}
--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -25,11 +25,21 @@
 	// MaxWatchWait is the longest time that the store holds one watch request open. A dead connection is detected after this
 	// time.
 	MaxWatchWait time.Duration
-	// OnChange is called with all keys below the prefix, after the first read and after each change. It must not keep the map.
-	OnChange func(items map[string]Item)
+	// OnChange is called after the first read and after each change. It must not keep the map of the view.
+	OnChange func(v View)
 	Log      log.Interface
 }
 
+// View holds all keys below a prefix.
+type View struct {
+	Items map[string]Item
+	// Revision is the revision of the store at which the keys had these values: that of the first page if all keys were read,
+	// or that of the last of the changes that were applied.
+	Revision uint64
+	// Reread is true if all keys were read, so that changes before the view are not known one by one.
+	Reread bool
+}
+
 // Follow passes the keys below a prefix to OnChange until ctx ends. It reads all keys once and then watches for changes.
 // When the store has compacted the history that the watch needs, or the changes are too large for one answer, it reads all keys
 // again, in pages.
@@ -72,12 +82,14 @@
 		return err
 	}
 	f.revision = max(f.revision, revision)
-	changed := false
+	changedAt := uint64(0) // 0 if nothing has changed
 	for _, e := range events {
-		changed = f.applyEvent(e) || changed
+		if f.applyEvent(e) {
+			changedAt = max(changedAt, e.Revision)
+		}
 	}
-	if changed {
-		f.OnChange(f.items)
+	if changedAt > 0 {
+		f.OnChange(View{Items: f.items, Revision: changedAt})
 	}
 	return nil
 }
@@ -119,7 +131,7 @@
 		}
 	}
 	f.items, f.revision = items, revision
-	f.OnChange(items)
+	f.OnChange(View{Items: items, Revision: revision, Reread: true})
 	return nil
 }
 
--- a/internal/kv/follow_test.go
+++ b/internal/kv/follow_test.go
@@ -57,8 +57,8 @@
 			changes := make(chan string, 10)
 			go kv.Follow(ctx, kv.FollowOptions{
 				Store: s, Prefix: "p/", MaxWatchWait: time.Second, Log: &log.Logger{Handler: discard.Default},
-				OnChange: func(items map[string]kv.Item) {
-					changes <- fmt.Sprint(len(items), " keys, a at ", items["p/a"].Revision)
+				OnChange: func(v kv.View) {
+					changes <- fmt.Sprint(len(v.Items), " keys, a at ", v.Items["p/a"].Revision)
 				},
 			})
 			g.Eventually(changes).Should(gomega.Receive(gomega.Equal("2 keys, a at 1")))
--- a/internal/runs/results.go
+++ b/internal/runs/results.go
@@ -304,7 +304,7 @@
 		reason = "runs of a former agent are ending"
 	}
 	capacity := t.Announcement().Capacity
-	free := capacity.Sub(t.used).Sub(t.queue.needs)
+	free := t.admittedCapacity(now).Sub(t.used).Sub(t.queue.needs)
 	return wire.WorkerLoad{
 		Open: reason == "", Closed: reason, Trial: t.health.onProbation,
 		FreeMilliCPU: free.MilliCPU, RemainingMillis: t.meanRemaining(now).Milliseconds(),
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -124,6 +124,9 @@
 	life         int64
 	leaving      bool
 	unresponsive bool // the worker does not answer
+	evacuated    bool // the data centre of the worker is evacuated
+	// returnedAt is when the evacuation ended, while the worker takes only a share of its capacity; else zero.
+	returnedAt time.Time
 	// latestPollAt is when the poll was made whose snapshot was applied last. snapshotAt is when the last snapshot arrived.
 	latestPollAt, snapshotAt time.Time
 
@@ -191,6 +194,8 @@
 		return "the worker has not announced itself"
 	case t.leaving:
 		return "the agent is stopping"
+	case t.evacuated:
+		return evacuatedReason
 	case t.announcement.left:
 		return "the worker has left"
 	case t.announcement.Draining:
@@ -332,7 +337,7 @@
 	if capacity <= 0 {
 		return 0
 	}
-	missing := r.needs.MilliCPU - max(capacity-t.used.MilliCPU, 0)
+	missing := r.needs.MilliCPU - max(t.admittedCapacity(now).MilliCPU-t.used.MilliCPU, 0)
 	queuedAhead := int64(0)
 	for _, other := range t.queue.runs {
 		if other == r {
@@ -422,7 +427,7 @@
 			t.queue.remove(r)
 			t.endOffer(now, r, wire.RunNotStarted, t.unfitReason(r))
 		case t.hasActiveRun(r.ref.Task):
-		case t.used.Add(r.needs).FitsIn(t.announcement.Capacity):
+		case len(t.active) == 0, t.used.Add(r.needs).FitsIn(t.admittedCapacity(now)):
 			t.queue.remove(r)
 			t.startRun(now, r)
 		case now.Sub(r.arrivedAt) > t.config.MaxBackfillAge:
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -130,6 +130,8 @@
 	Capacity      job.Resources
 	Labels        []string
 	Draining      bool
+	// ColdRemaining is the time for which the worker is still slow after its start, as of the announcement.
+	ColdRemaining time.Duration
 }
 
 // Worker calls the worker beside the agent. Its methods are safe for concurrent use.
--- a/internal/scheduler/agents.go
+++ b/internal/scheduler/agents.go
@@ -11,6 +11,7 @@
 // agent is the state of one agent and its worker, as the entry last heard of it.
 type agent struct {
 	id             AgentID
+	dataCentre     string
 	sameDataCentre bool // the agent is in the data centre of the entry
 	linked         bool
 	incarnation    uint64 // of the agent process at the other end of the link
@@ -59,7 +60,7 @@
 		s.agents[id] = a
 		s.agentList = append(s.agentList, a)
 	}
-	a.sameDataCentre = dataCentre == s.config.DataCentre
+	a.dataCentre, a.sameDataCentre = dataCentre, dataCentre == s.config.DataCentre
 	a.hasLoad = false
 	a.linked, a.incarnation, a.heardAt = true, incarnation, now
 }
@@ -200,7 +201,7 @@
 func (s *Scheduler) AvailableAgents(service string) int {
 	n := 0
 	for _, a := range s.agentList {
-		if a.linked && a.hasLoad && a.load.Open && (service == "" || a.worker.Service == service) {
+		if a.linked && a.hasLoad && a.load.Open && !s.isEvacuated(a) && (service == "" || a.worker.Service == service) {
 			n++
 		}
 	}
@@ -209,19 +210,22 @@
 
 // AgentSummary is the state of an agent, for a dump.
 type AgentSummary struct {
-	ID     AgentID         `json:"id"`
-	Linked bool            `json:"linked"`
-	Near   bool            `json:"near"`
-	Tasks  int             `json:"tasks"`
-	Worker wire.WorkerInfo `json:"worker"`
-	Load   wire.WorkerLoad `json:"load"`
+	ID     AgentID `json:"id"`
+	Linked bool    `json:"linked"`
+	Near   bool    `json:"near"`
+	// DataCentre is that of the agent; no offers are made while it is evacuated.
+	DataCentre string          `json:"data_centre"`
+	Evacuated  bool            `json:"evacuated,omitempty"`
+	Tasks      int             `json:"tasks"`
+	Worker     wire.WorkerInfo `json:"worker"`
+	Load       wire.WorkerLoad `json:"load"`
 }
 
 // Agents returns the state of each agent.
 func (s *Scheduler) Agents() []AgentSummary {
 	all := make([]AgentSummary, 0, len(s.agentList))
 	for _, a := range s.agentList {
-		all = append(all, AgentSummary{ID: a.id, Linked: a.linked, Near: a.sameDataCentre, Tasks: len(a.tasks), Worker: a.worker, Load: a.load})
+		all = append(all, AgentSummary{ID: a.id, Linked: a.linked, Near: a.sameDataCentre, DataCentre: a.dataCentre, Evacuated: s.isEvacuated(a), Tasks: len(a.tasks), Worker: a.worker, Load: a.load})
 	}
 	return all
 }
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -192,7 +192,7 @@
 
 // canRun reports whether the agent takes work and its worker meets the requirements of the task.
 func (s *Scheduler) canRun(a *agent, t *task) bool {
-	if !a.linked || !a.hasLoad || !a.load.Open || a.worker.Service != t.job.Queue.Service {
+	if !a.linked || !a.hasLoad || !a.load.Open || s.isEvacuated(a) || a.worker.Service != t.job.Queue.Service {
 		return false
 	}
 	if a.load.Trial && len(a.tasks) > 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -169,6 +169,7 @@
 	lastSweep        time.Time // when the deadlines of all jobs were last checked
 	backlog          backlog
 	workerAddedAt    time.Time // when an agent last reported a new worker or a new incarnation of one
+	evacuated        []string  // names of the evacuated data centres
 
 	outgoing []AgentMessage
 	answers  []Answer
@@ -399,6 +400,7 @@
 		switch {
 		case !j.Deadline.After(now):
 			s.expireJob(j)
+		case s.refuseEvacuated(now, j):
 		case j.OffersMade == 0 && now.Sub(j.Arrived) >= s.config.NoAgentTimeout && s.AvailableAgents(j.Queue.Service) == 0:
 			s.answerJob(j, Unreachable, "the entry has no contact with an agent of the service", overloadRetryAfter)
 		default:
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -78,6 +78,7 @@
 	endedRuns           []endedRun        // not yet acknowledged by a poll
 	lastEndNumber       uint64
 	calls               int
+	lastStart           time.Time // when a run last started
 	leavingSince        time.Time // when its agent acknowledged that the worker leaves; zero before that
 }
 
@@ -174,6 +175,13 @@
 	return w.calls
 }
 
+// LastStart returns when a run last started; zero if none has.
+func (w *Worker) LastStart() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lastStart
+}
+
 // clock returns the time on the worker's own clock, which starts at 0 with each incarnation.
 func (w *Worker) clock() time.Duration { return time.Since(w.startTime) }
 
@@ -330,6 +338,7 @@
 	w.extendLease(p.DeadlineMs)
 	w.highestAttempts[p.Task] = p.Attempt
 	w.runs[p.Task] = &run{task: p.Task, attempt: p.Attempt, lastAdvanced: time.Now()}
+	w.lastStart = time.Now()
 	w.options.Ledger.recordStart(p.Task, w)
 	if after := time.Since(w.leavingSince); !w.leavingSince.IsZero() && after > w.options.LeavingGrace && !p.late {
 		w.options.Ledger.recordViolation(fmt.Sprintf("worker %s starts task %s %s after its end was acknowledged",
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -43,6 +43,7 @@
 	TypeCatalogPull    Type = 32
 	TypeJobQuery       Type = 33
 	TypeJobReply       Type = 34
+	TypeEvacuations    Type = 38
 )
 
 // MaxFrame is the largest frame in bytes that a process sends or accepts.
@@ -211,6 +212,8 @@
 		return new(JobQuery)
 	case TypeJobReply:
 		return new(JobReply)
+	case TypeEvacuations:
+		return new(Evacuations)
 	default:
 		return nil
 	}
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -135,6 +135,15 @@
 	// IdleIntervalMillis is the interval in milliseconds of heartbeats on the link while the entry has no open offer on it.
 	// An entry sets it.
 	IdleIntervalMillis uint32 `cbor:"5,keyasint,omitempty"`
+	// EvacuationRevision is the revision of the Evacuations that the sender holds, 0 if it knows none.
+	EvacuationRevision uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Evacuations carries the data centres whose workers start nothing, as of a revision of the store. It replaces those of lower
+// revisions. The receiver confirms it with a Heartbeat.
+type Evacuations struct {
+	Revision    uint64   `cbor:"1,keyasint"`
+	DataCentres []string `cbor:"2,keyasint,omitempty"`
 }
 
 // CatalogPull requests the configuration from an agent whose Heartbeat announces a newer version.
@@ -178,6 +187,9 @@
 // Type implements Message.
 func (*Offers) Type() Type { return TypeOffers }
 
+// Type implements Message.
+func (*Evacuations) Type() Type { return TypeEvacuations }
+
 // Type implements Message.
 func (*RunReport) Type() Type { return TypeRunReport }
 
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -33,9 +34,12 @@
 	owners   map[runs.Owner]*owner
 	diallers *diallerSet
 
-	catalog      *catalog.Catalog
-	loadDirty    bool
-	lastLoadOpen bool // whether the last load that was passed to the owners was open for new tasks
+	catalog    *catalog.Catalog
+	evacuation evacuation.Tracker // the operator's requests to evacuate data centres
+	// evacuationChangedAt is when the set of evacuated data centres last changed.
+	evacuationChangedAt time.Time
+	loadDirty           bool
+	lastLoadOpen        bool // whether the last load that was passed to the owners was open for new tasks
 	// linksCheckedAt is when the links of all entries were last checked; zero after a new link has to be reported to at once.
 	linksCheckedAt time.Time
 	drained        chan<- struct{}
@@ -84,10 +88,12 @@
 	}
 	c.table.Advance(now)
 	c.worker.pollIfDue(now)
+	c.loadDirty = c.loadDirty || c.table.Returning(now)
 	checkLinks = checkLinks || c.linksCheckedAt.IsZero()
 	c.flush(now, checkLinks)
 	if checkLinks {
 		c.sendHeartbeats(now)
+		c.relayEvacuation(now)
 	}
 	if c.drained != nil && c.table.Idle() {
 		close(c.drained)
@@ -233,6 +239,7 @@
 		o.echoSentAt = now
 		o.send(&wire.Heartbeat{
 			SentMicros: clock.BootMicros(now), LastReceivedMicros: o.lastReceivedMicros, CatalogVersion: catalog.VersionOf(c.catalog),
+			EvacuationRevision: c.evacuation.State().Revision,
 		})
 	}
 }
--- a/internal/workeragent/dump.go
+++ b/internal/workeragent/dump.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -14,12 +15,18 @@
 	Load    wire.WorkerLoad `json:"load"`
 	Entries []string        `json:"entries"`
 	Fence   uint64          `json:"fence"`
+	// Evacuation holds the evacuated data centres, Evacuated is true if the agent's own is one of them.
+	Evacuation evacuation.Summary `json:"evacuation"`
+	Evacuated  bool               `json:"evacuated"`
 }
 
 type dumpRequested struct{ reply chan<- State }
 
 func (e dumpRequested) apply(c *control, now time.Time) {
-	s := State{ID: c.agent.options.ID, Worker: c.table.WorkerInfo(), Load: c.table.Load(now), Fence: c.worker.fence}
+	s := State{
+		ID: c.agent.options.ID, Worker: c.table.WorkerInfo(), Load: c.table.Load(now), Fence: c.worker.fence,
+		Evacuation: c.evacuation.Summary(), Evacuated: c.table.Evacuated(),
+	}
 	for _, o := range c.owners {
 		s.Entries = append(s.Entries, o.id)
 	}
--- a/internal/workeragent/metrics.go
+++ b/internal/workeragent/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"sync/atomic"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/metrics"
 	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -22,12 +23,19 @@
 	// AnnouncementsNotInForce counts announcements that were outdated or of another incarnation than the one that answers,
 	// WorkerIncarnations the incarnations of the worker that have answered a poll.
 	AnnouncementsNotInForce, WorkerIncarnations expvar.Int
+	// EvacuationChanges counts changes of the set of evacuated data centres.
+	EvacuationChanges expvar.Int
+	evacuation        atomic.Pointer[evacuation.Summary]
 	// RunMillis is the distribution of the run times of completed tasks, in milliseconds.
 	RunMillis *metrics.Histogram
 }
 
 // NewMetrics returns metrics at zero.
-func NewMetrics() *Metrics { return &Metrics{RunMillis: metrics.NewHistogram()} }
+func NewMetrics() *Metrics {
+	m := &Metrics{RunMillis: metrics.NewHistogram()}
+	m.setEvacuation(evacuation.Summary{DataCentres: []evacuation.DataCentre{}})
+	return m
+}
 
 // Vars returns the metrics under the names by which they are published.
 func (m *Metrics) Vars() *expvar.Map {
@@ -44,10 +52,14 @@
 	vars.Set("leases_withheld", &m.LeasesWithheld)
 	vars.Set("announcements_not_in_force", &m.AnnouncementsNotInForce)
 	vars.Set("worker_incarnations", &m.WorkerIncarnations)
+	vars.Set("evacuation", expvar.Func(func() any { return m.evacuation.Load() }))
+	vars.Set("evacuation_changes", &m.EvacuationChanges)
 	vars.Set("run_ms", m.RunMillis)
 	return vars
 }
 
+func (m *Metrics) setEvacuation(s evacuation.Summary) { m.evacuation.Store(&s) }
+
 func (m *Metrics) recordEnd(end *wire.RunEnd) {
 	switch end.Outcome {
 	case wire.RunDone:
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -37,6 +38,7 @@
 	hasMinDelay    bool
 	// highestOffer is the highest offer number received.
 	highestOffer uint64
+	evacuation   evacuation.Peer
 	echoSentAt   time.Time // when the last message with an echo was sent
 	loadSentAt   time.Time
 	loadPending  bool
@@ -158,6 +160,8 @@
 		o.link.Close(link.ErrClosed)
 	}
 	o.link, o.hasMinDelay, o.loadPending, o.infoPending, o.loadSentAt = e.link, false, true, true, time.Time{}
+	o.evacuation = evacuation.Peer{}
+	c.sendEvacuation(now, o, c.evacuation.State())
 	c.linksCheckedAt = time.Time{}
 	o.echoedAt = maxTime(o.echoedAt, e.dialled) // the handshake proves that the entry was in contact when it began
 	c.log.WithFields(log.Fields{"entry": o.id, "incarnation": hello.Incarnation}).Info("agent: link to an entry is open")
@@ -201,6 +205,9 @@
 		o.recordTimes(m.SentMicros, m.LastReceivedMicros)
 		o.loadInterval = loadInterval(time.Duration(m.LoadIntervalMillis) * time.Millisecond)
 		o.idleInterval = idleInterval(time.Duration(m.IdleIntervalMillis) * time.Millisecond)
+		o.evacuation.HeardRevision(m.EvacuationRevision)
+	case *wire.Evacuations:
+		c.applyEvacuations(now, o, m)
 	case *wire.CatalogPush:
 		c.applyCatalog(o, m)
 	case *wire.CatalogPull:
