--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -65,6 +66,7 @@
 	catalogs         catalogState
 	// linksCheckedAt is when the links of all agents were last checked.
 	linksCheckedAt time.Time
+	evacuation     evacuation.Tracker // the operator's requests to evacuate data centres
 	// jobQueries holds the queries to other entries that wait for a reply, by number.
 	jobQueries map[uint64]chan<- struct{}
 	// refusingJobs is true at the end of a planned stop: new jobs are answered with NotRun.
@@ -83,6 +85,7 @@
 	busy        bool
 	idleEndedAt time.Time
 	pending     wire.Offers
+	evacuation  evacuation.Peer
 }
 
 func newControl(e *Entry) *control {
@@ -152,6 +155,8 @@
 	c.sendChunks(now)
 	if checkLinks {
 		c.sendHeartbeats(now)
+		c.sendEvacuations(now)
+		c.entry.onlyEvacuated.Store(c.scheduler.HoldsOnlyEvacuated())
 		c.entry.availableAgents.Store(int64(c.scheduler.AvailableAgents("")))
 	}
 }
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -45,6 +45,7 @@
 	TypeCatalogNotice  Type = 35
 	TypeCatalogPull    Type = 36
 	TypeCatalogChunk   Type = 37
+	TypeEvacuations    Type = 38
 )
 
 // MaxFrame is the largest frame in bytes that a process sends or accepts.
@@ -215,6 +216,8 @@
 		return new(JobQuery)
 	case TypeJobReply:
 		return new(JobReply)
+	case TypeEvacuations:
+		return new(Evacuations)
 	default:
 		return nil
 	}
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalogsync"
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -33,9 +34,12 @@
 	owners   map[runs.Owner]*owner
 	diallers *diallerSet
 
-	catalogs     catalogState
-	loadDirty    bool
-	lastLoadOpen bool // whether the last load that was passed to the owners was open for new tasks
+	catalogs   catalogState
+	evacuation evacuation.Tracker // the operator's requests to evacuate data centres
+	// evacuationChangedAt is when the set of evacuated data centres last changed.
+	evacuationChangedAt time.Time
+	loadDirty           bool
+	lastLoadOpen        bool // whether the last load that was passed to the owners was open for new tasks
 	// linksCheckedAt is when the links of all entries were last checked; zero after a new link has to be reported to at once.
 	linksCheckedAt time.Time
 	drained        chan<- struct{}
@@ -85,12 +89,14 @@
 	}
 	c.table.Advance(now)
 	c.worker.pollIfDue(now)
+	c.loadDirty = c.loadDirty || c.table.Returning(now)
 	checkLinks = checkLinks || c.linksCheckedAt.IsZero()
 	c.flush(now, checkLinks)
 	c.sendChunks(now)
 	if checkLinks {
 		c.syncCatalog(now)
 		c.sendHeartbeats(now)
+		c.relayEvacuation(now)
 	}
 	if c.drained != nil && c.table.Idle() {
 		close(c.drained)
@@ -240,6 +246,7 @@
 		o.echoSentAt, o.versionPending = now, false
 		o.send(&wire.Heartbeat{
 			SentMicros: clock.BootMicros(now), LastReceivedMicros: o.lastReceivedMicros, CatalogVersion: catalogsync.VersionOf(c.catalogs.snapshot),
+			EvacuationRevision: c.evacuation.State().Revision,
 		})
 	}
 }
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
@@ -36,6 +37,7 @@
 	hasMinDelay    bool
 	// highestOffer is the highest offer number received.
 	highestOffer uint64
+	evacuation   evacuation.Peer
 	echoSentAt   time.Time // when the last message with an echo was sent
 	loadSentAt   time.Time
 	loadPending  bool
@@ -195,6 +197,8 @@
 	o.link, o.hasMinDelay, o.loadPending, o.infoPending, o.loadSentAt = e.link, false, true, true, time.Time{}
 	o.versionPending, o.notice = true, nil
 	c.catalogs.sender.RemovePeer(id)
+	o.evacuation = evacuation.Peer{}
+	c.sendEvacuation(now, o, c.evacuation.State())
 	c.linksCheckedAt = time.Time{}
 	o.echoedAt = maxTime(o.echoedAt, e.dialled) // the handshake proves that the entry was in contact when it began
 	c.log.WithFields(log.Fields{"entry": o.id, "incarnation": hello.Incarnation}).Info("agent: link to an entry is open")
@@ -238,6 +242,9 @@
 		o.recordTimes(m.SentMicros, m.LastReceivedMicros)
 		o.loadInterval = loadInterval(time.Duration(m.LoadIntervalMillis) * time.Millisecond)
 		o.idleInterval = idleInterval(time.Duration(m.IdleIntervalMillis) * time.Millisecond)
+		o.evacuation.HeardRevision(m.EvacuationRevision)
+	case *wire.Evacuations:
+		c.applyEvacuations(now, o, m)
 	case *wire.CatalogNotice:
 		o.notice = m
 	case *wire.CatalogPull:
