--- a/internal/catalogsync/catalogsync_test.go
+++ b/internal/catalogsync/catalogsync_test.go
@@ -229,6 +229,12 @@
 	g.Expect(next).To(gomega.BeNil(), "the pull at a was given up")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 
+	earlier := *late
+	earlier.Offset = 0
+	next, _, err = r.HandleChunk(now, "b", &earlier)
+	g.Expect(next).To(gomega.BeNil(), "an answer to an earlier pull, which came late")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+
 	corrupt := *answer(pull)
 	corrupt.Body = append([]byte{corrupt.Body[0] + 1}, corrupt.Body[1:]...)
 	pull, done, err := r.HandleChunk(now, "b", &corrupt)
--- a/internal/catalogsync/receiver.go
+++ b/internal/catalogsync/receiver.go
@@ -76,6 +76,7 @@
 func (r *Receiver[P]) Advance(now time.Time, own uint64, sources []Source[P]) *Pull[P] {
 	if r.version != 0 && r.version <= own {
 		r.reset(0)
+		r.outstanding = false
 	}
 	if len(sources) == 0 {
 		r.behindSince, r.outstanding = time.Time{}, false
@@ -143,14 +144,18 @@
 	if !r.outstanding || peer != r.source {
 		return nil, nil, nil
 	}
-	r.outstanding = false
-	if m.Version < r.version {
+	switch {
+	case m.Version == r.version && int(m.Offset) == len(r.body):
+	case m.Version > r.version && m.Offset == 0:
+		r.reset(m.Version)
+	case m.Version < r.version && len(m.Body) == 0:
+		r.outstanding = false
 		r.block(peer, now.Add(PullTimeout)) // the source no longer has the version, for example after a restart
 		return nil, nil, nil
+	default:
+		return nil, nil, nil // an answer to an earlier pull
 	}
-	if m.Version > r.version {
-		r.reset(m.Version)
-	}
+	r.outstanding = false
 	if err := r.add(m); err != nil {
 		return nil, nil, r.fail(now, peer, err)
 	}
@@ -185,8 +190,6 @@
 		return eris.Wrapf(ErrChunk, "size %d, expected %d and at most %d", m.Size, r.size, MaxBody)
 	case m.Digest != r.digest:
 		return eris.Wrap(ErrChunk, "the digest differs from that of earlier chunks")
-	case int(m.Offset) != len(r.body):
-		return eris.Wrapf(ErrChunk, "offset %d, expected %d", m.Offset, len(r.body))
 	case len(m.Body) == 0 || len(m.Body) > MaxChunk || len(r.body)+len(m.Body) > r.size:
 		return eris.Wrapf(ErrChunk, "body of %d bytes at offset %d of %d", len(m.Body), m.Offset, r.size)
 	}
