--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -95,10 +95,12 @@
 }
 
 func newControl(e *Entry) *control {
-	return &control{
+	c := &control{
 		entry: e, log: e.options.Log, agents: make(map[scheduler.AgentID]*agentConn), jobQueries: make(map[uint64]chan<- struct{}),
 		scheduler: scheduler.New(scheduler.DefaultConfig(e.options.DataCentre)),
 	}
+	c.scheduler.SetDataCentres(e.options.DataCentres)
+	return c
 }
 
 func (c *control) run(ctx context.Context) {
@@ -161,7 +163,7 @@
 	if checkLinks {
 		c.sendHeartbeats(now)
 		c.sendEvacuations(now)
-		c.entry.onlyEvacuated.Store(c.scheduler.HoldsOnlyEvacuated())
+		c.entry.allEvacuated.Store(c.scheduler.AllEvacuated())
 		c.entry.availableAgents.Store(int64(c.scheduler.AvailableAgents("")))
 	}
 }
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -45,6 +45,8 @@
 	// ID identifies the host; it stays the same when the process restarts.
 	ID         string
 	DataCentre string
+	// DataCentres holds the names of all data centres of the deployment; empty if they are not known.
+	DataCentres []string
 	// LinkAddress is the host:port on which agents open links.
 	LinkAddress string
 	LinkToken   string
@@ -64,7 +66,7 @@
 	listener        net.Listener
 	catalog         atomic.Pointer[catalog.Catalog]
 	availableAgents atomic.Int64 // linked agents whose workers take tasks
-	onlyEvacuated   atomic.Bool  // see scheduler.HoldsOnlyEvacuated
+	allEvacuated    atomic.Bool  // all data centres are evacuated, see scheduler.AllEvacuated
 	lastJobQuery    atomic.Uint64
 	control         *control
 	overload        overload
@@ -172,10 +174,10 @@
 func (e *Entry) SetSeeds(addresses []string) { go e.post(seedsRead{addresses: addresses}) }
 
 // Ready reports whether the entry can serve more jobs: it has a configuration, at least one linked worker takes tasks, and
-// the entry is neither overloaded nor hung. If all workers are in evacuated data centres, no other entry can serve more, and the
-// entry stays ready to refuse jobs with a reason.
+// the entry is neither overloaded nor hung. If all data centres are evacuated, no other entry can serve more, and the entry stays
+// ready to refuse jobs with a reason.
 func (e *Entry) Ready() bool {
-	return e.Catalog() != nil && (e.availableAgents.Load() > 0 || e.onlyEvacuated.Load()) && !e.overload.busy.Load() && !e.overload.isHung(e.Now())
+	return e.Catalog() != nil && (e.availableAgents.Load() > 0 || e.allEvacuated.Load()) && !e.overload.busy.Load() && !e.overload.isHung(e.Now())
 }
 
 // Submission is a job together with the properties of the request that carried it.
--- a/internal/jobentry/evacuation.go
+++ b/internal/jobentry/evacuation.go
@@ -12,6 +12,14 @@
 
 func (e evacuationRead) apply(c *control, now time.Time) { c.applyEvacuation(now, e.state, "store") }
 
+// dataCentresRead holds the names of all data centres in the settings.
+type dataCentresRead struct{ names []string }
+
+func (e dataCentresRead) apply(c *control, _ time.Time) { c.scheduler.SetDataCentres(e.names) }
+
+// SetDataCentres sets the names of all data centres of the deployment after the settings have changed.
+func (e *Entry) SetDataCentres(names []string) { e.post(dataCentresRead{names: names}) }
+
 // SetEvacuation passes the evacuated data centres from the store. The state is ignored if a newer one is in force.
 func (e *Entry) SetEvacuation(s evacuation.State) { e.post(evacuationRead{state: s}) }
 
--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -36,8 +36,9 @@
 	// Revision is the revision of the store at which the keys had these values: that of the first page if all keys were read,
 	// or that of the last of the changes that were applied.
 	Revision uint64
-	// Reread is true if all keys were read, so that changes before the view are not known one by one.
-	Reread bool
+	// Changed holds the keys that were written or deleted since the previous view, also those that are as they were before. It is
+	// nil if all keys were read, so that the changes since the previous view are not known.
+	Changed []string
 }
 
 // Follow passes the keys below a prefix to OnChange until ctx ends. It reads all keys once and then watches for changes.
@@ -82,14 +83,14 @@
 		return err
 	}
 	f.revision = max(f.revision, revision)
-	changedAt := uint64(0) // 0 if nothing has changed
+	view := View{Items: f.items}
 	for _, e := range events {
 		if f.applyEvent(e) {
-			changedAt = max(changedAt, e.Revision)
+			view.Revision, view.Changed = max(view.Revision, e.Revision), append(view.Changed, e.Key)
 		}
 	}
-	if changedAt > 0 {
-		f.OnChange(View{Items: f.items, Revision: changedAt})
+	if len(view.Changed) > 0 {
+		f.OnChange(view)
 	}
 	return nil
 }
@@ -131,7 +132,7 @@
 		}
 	}
 	f.items, f.revision = items, revision
-	f.OnChange(View{Items: items, Revision: revision, Reread: true})
+	f.OnChange(View{Items: items, Revision: revision})
 	return nil
 }
 
--- a/internal/scheduler/agents.go
+++ b/internal/scheduler/agents.go
@@ -158,6 +158,7 @@
 		a.fence = 0 // a new incarnation of the worker has accepted no token yet
 	}
 	a.worker = info
+	s.evacuation.epoch++
 }
 
 // ReportLoad applies a load report of an agent. It returns false, and ignores the report, if it comes from a process that a
@@ -194,6 +195,7 @@
 	}
 	delete(s.agents, id)
 	s.agentList = slices.DeleteFunc(s.agentList, func(b *agent) bool { return b == a })
+	s.evacuation.epoch++
 }
 
 // AvailableAgents returns the number of linked agents whose workers take tasks of a service; an empty name means any
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -112,6 +112,8 @@
 	tier        int     // urgency tier of its waiting tasks at the last sort
 	waitingWork float64 // of its waiting tasks at the last sort, see task.work
 	fits        bool    // a known worker can run each of its tasks
+	// fitsElsewhereAt is the evacuationState.epoch at which known workers outside the evacuated data centres could run each task.
+	fitsElsewhereAt uint64
 }
 
 // task is one task of a job.
@@ -169,7 +171,7 @@
 	lastSweep        time.Time // when the deadlines of all jobs were last checked
 	backlog          backlog
 	workerAddedAt    time.Time // when an agent last reported a new worker or a new incarnation of one
-	evacuated        []string  // names of the evacuated data centres
+	evacuation       evacuationState
 
 	outgoing []AgentMessage
 	answers  []Answer
