--- a/internal/workeragent/evacuation.go
+++ b/internal/workeragent/evacuation.go
@@ -19,9 +19,6 @@
 	}
 	c.evacuationChangedAt = now
 	c.agent.options.Metrics.EvacuationChanges.Add(1)
-	for _, other := range c.owners {
-		other.echoSentAt = time.Time{} // all entries get the revision with the next heartbeat
-	}
 	state = c.evacuation.State()
 	wasEvacuated := c.table.Evacuated()
 	c.table.SetEvacuated(now, state.Includes(c.agent.options.DataCentre))
