--- a/internal/runs/evacuation.go
+++ b/internal/runs/evacuation.go
@@ -14,8 +14,8 @@
 // them as many tasks as they have room for, and workers that were idle may be slow.
 const (
 	// minReturnTime is the time over which the admitted capacity of a worker without cold time grows to the full capacity. It
-	// spans several load reports, so that entries see what others have placed.
-	minReturnTime = 500 * time.Millisecond
+	// spans some load reports, so that entries see what others have placed; with 500 ms, a replay completed 1% fewer jobs.
+	minReturnTime = 250 * time.Millisecond
 	// maxReturnTime bounds the time that an announcement can ask for.
 	maxReturnTime = 30 * time.Second
 	// initialReturnShare is the share of the capacity that is admitted at once. It is two or three of the largest tasks.
