--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -113,3 +113,18 @@
 		run("decode", func() { _, _ = Decode(body) })
 	}
 }
+
+// Guards against a body of another process that panics the decoder, or a decoded catalog whose index does.
+func FuzzDecode(f *testing.F) {
+	body, err := Encode(testCatalog(3))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if c, err := Decode(body); err == nil {
+			c.MatchQueue("host", "/path")
+		}
+	})
+}
--- a/internal/jobentry/catalog.go
+++ b/internal/jobentry/catalog.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
 	"github.com/coltsfootspur/coltsfootspur/internal/catalogsync"
@@ -91,8 +92,8 @@
 		Error("entry: cannot decode the configuration of an agent, keeping the present one")
 }
 
-// syncCatalog notifies the holders that have an older configuration than the entry, and pulls a newer one from an agent: the store may be
-// unavailable to this entry. An entry without any configuration pulls without delay.
+// syncCatalog notifies the holders that have an older configuration than the entry, and pulls a newer one from an agent: the
+// store may be unavailable to this entry. An entry without any configuration pulls without delay.
 func (c *control) syncCatalog(now time.Time) {
 	s := &c.catalogs
 	if s.snapshot != nil {
@@ -135,17 +136,27 @@
 	}
 	c.entry.options.Metrics.Catalog.TransfersDone.Add(1)
 	c.catalogs.decoding = snapshot.Version
-	go func() { // decoding 1 MB takes 100 ms on a small host, longer than the control goroutine may be late
-		decoded, err := catalog.Decode(snapshot.Body)
-		if err == nil && decoded.Version != snapshot.Version {
-			err = catalog.ErrMalformed
-		}
-		if err != nil {
-			c.entry.post(catalogUndecodable{agent: string(a.id), version: snapshot.Version, err: err})
-			return
+	go c.entry.decodeCatalog(snapshot, string(a.id))
+}
+
+// decodeCatalog decodes the configuration of an agent. It runs in a goroutine of its own: decoding 1 MB takes 100 ms on a small
+// host, longer than the control goroutine may be late.
+func (e *Entry) decodeCatalog(s *catalogsync.Snapshot, agent string) {
+	fail := func(err error) { e.post(catalogUndecodable{agent: agent, version: s.Version, err: err}) }
+	defer func() {
+		if p := recover(); p != nil {
+			fail(eris.Wrapf(catalog.ErrMalformed, "panic: %v", p))
 		}
-		c.entry.post(catalogReady{catalog: decoded, snapshot: snapshot, source: "agent " + string(a.id)})
 	}()
+	decoded, err := catalog.Decode(s.Body)
+	switch {
+	case err != nil:
+		fail(err)
+	case decoded.Version != s.Version:
+		fail(eris.Wrapf(catalog.ErrMalformed, "version %d, expected %d", decoded.Version, s.Version))
+	default:
+		e.post(catalogReady{catalog: decoded, snapshot: s, source: "agent " + agent})
+	}
 }
 
 // sendChunks answers the pulls of agents as far as the byte rate allows.
