--- a/internal/scheduler/agents.go
+++ b/internal/scheduler/agents.go
@@ -12,6 +12,7 @@
 type agent struct {
 	id             AgentID
 	dataCentre     string
+	evacuated      bool // the data centre is evacuated
 	sameDataCentre bool // the agent is in the data centre of the entry
 	linked         bool
 	incarnation    uint64 // of the agent process at the other end of the link
@@ -61,6 +62,7 @@
 		s.agentList = append(s.agentList, a)
 	}
 	a.dataCentre, a.sameDataCentre = dataCentre, dataCentre == s.config.DataCentre
+	a.evacuated = s.isEvacuated(dataCentre)
 	a.hasLoad = false
 	a.linked, a.incarnation, a.heardAt = true, incarnation, now
 }
@@ -203,7 +205,7 @@
 func (s *Scheduler) AvailableAgents(service string) int {
 	n := 0
 	for _, a := range s.agentList {
-		if a.linked && a.hasLoad && a.load.Open && !s.isEvacuated(a) && (service == "" || a.worker.Service == service) {
+		if a.linked && a.hasLoad && a.load.Open && !a.evacuated && (service == "" || a.worker.Service == service) {
 			n++
 		}
 	}
@@ -227,7 +229,7 @@
 func (s *Scheduler) Agents() []AgentSummary {
 	all := make([]AgentSummary, 0, len(s.agentList))
 	for _, a := range s.agentList {
-		all = append(all, AgentSummary{ID: a.id, Linked: a.linked, Near: a.sameDataCentre, DataCentre: a.dataCentre, Evacuated: s.isEvacuated(a), Tasks: len(a.tasks), Worker: a.worker, Load: a.load})
+		all = append(all, AgentSummary{ID: a.id, Linked: a.linked, Near: a.sameDataCentre, DataCentre: a.dataCentre, Evacuated: a.evacuated, Tasks: len(a.tasks), Worker: a.worker, Load: a.load})
 	}
 	return all
 }
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -204,7 +204,7 @@
 
 // canRun reports whether the agent takes work and its worker meets the requirements of the task.
 func (s *Scheduler) canRun(a *agent, t *task) bool {
-	if !a.linked || !a.hasLoad || !a.load.Open || s.isEvacuated(a) || a.worker.Service != t.job.Queue.Service {
+	if !a.linked || !a.hasLoad || !a.load.Open || a.evacuated || a.worker.Service != t.job.Queue.Service {
 		return false
 	}
 	if a.load.Trial && len(a.tasks) > 0 {
--- a/internal/scheduler/evacuation.go
+++ b/internal/scheduler/evacuation.go
@@ -24,14 +24,16 @@
 func (s *Scheduler) SetEvacuated(dataCentres []string) {
 	s.evacuation.evacuated, s.changedSincePass = slices.Clone(dataCentres), true
 	s.evacuation.epoch++
+	for _, a := range s.agentList {
+		a.evacuated = s.isEvacuated(a.dataCentre)
+	}
 }
 
 // SetDataCentres sets the names of all data centres of the deployment. With an empty list, those of the known agents count.
 func (s *Scheduler) SetDataCentres(names []string) { s.evacuation.all = slices.Clone(names) }
 
-// isEvacuated reports whether the agent is in an evacuated data centre.
-func (s *Scheduler) isEvacuated(a *agent) bool {
-	return slices.Contains(s.evacuation.evacuated, a.dataCentre)
+func (s *Scheduler) isEvacuated(dataCentre string) bool {
+	return slices.Contains(s.evacuation.evacuated, dataCentre)
 }
 
 // AllEvacuated reports whether all data centres are evacuated and an agent is linked. Every entry in contact is then in the same
@@ -41,7 +43,7 @@
 		return false
 	}
 	for _, name := range s.dataCentres() {
-		if !slices.Contains(s.evacuation.evacuated, name) {
+		if !s.isEvacuated(name) {
 			return false
 		}
 	}
@@ -53,7 +55,7 @@
 func (s *Scheduler) reachesOthers() bool {
 	for _, name := range s.dataCentres() {
 		isLinked := func(a *agent) bool { return a.linked && a.dataCentre == name }
-		if !slices.Contains(s.evacuation.evacuated, name) && !slices.ContainsFunc(s.agentList, isLinked) {
+		if !s.isEvacuated(name) && !slices.ContainsFunc(s.agentList, isLinked) {
 			return false
 		}
 	}
@@ -97,7 +99,7 @@
 		canRun, elsewhere := false, false
 		for _, a := range s.agentList {
 			if a.suits(j, &j.Spec.Steps[i]) {
-				canRun, elsewhere = true, elsewhere || !s.isEvacuated(a)
+				canRun, elsewhere = true, elsewhere || !a.evacuated
 			}
 		}
 		if !canRun {
