--- a/internal/jobentry/metrics.go
+++ b/internal/jobentry/metrics.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/catalogsync"
 	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/metrics"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
@@ -17,6 +18,10 @@
 	// Complete, Failed, NotRun and GivenUp count answers, CallersLeft the jobs that were cancelled because their callers
 	// disconnected.
 	Complete, Failed, NotRun, GivenUp, CallersLeft expvar.Int
+	// MalformedConfigurations counts values of the operator's key that were ignored.
+	MalformedConfigurations expvar.Int
+	// Catalog counts transfers of the configuration.
+	Catalog catalogsync.Metrics
 	// EvacuationChanges counts changes of the set of evacuated data centres, EvacuationKeysInvalid the invalid keys that request
 	// an evacuation in the store, each once for each of its revisions.
 	EvacuationChanges, EvacuationKeysInvalid expvar.Int
@@ -44,6 +49,8 @@
 	vars.Set("jobs_not_run", &m.NotRun)
 	vars.Set("jobs_given_up", &m.GivenUp)
 	vars.Set("callers_left", &m.CallersLeft)
+	vars.Set("malformed_configurations", &m.MalformedConfigurations)
+	m.Catalog.AddTo(vars)
 	vars.Set("evacuation", expvar.Func(func() any { return m.evacuation.Load() }))
 	vars.Set("evacuation_changes", &m.EvacuationChanges)
 	vars.Set("evacuation_keys_invalid", &m.EvacuationKeysInvalid)
