--- a/internal/jobentry/overload.go
+++ b/internal/jobentry/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -64,12 +65,28 @@
 type pausableListener struct {
 	net.Listener
 	paused func() bool
+	once   sync.Once
+	closed chan struct{}
 }
 
-// Accept implements net.Listener. It waits while the listener is paused.
-func (l pausableListener) Accept() (net.Conn, error) {
+func newPausableListener(l net.Listener, paused func() bool) *pausableListener {
+	return &pausableListener{Listener: l, paused: paused, closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener. It waits while the listener is paused and returns net.ErrClosed after Close.
+func (l *pausableListener) Accept() (net.Conn, error) {
 	for l.paused() {
-		time.Sleep(acceptPollInterval)
+		select {
+		case <-l.closed:
+			return nil, net.ErrClosed
+		case <-time.After(acceptPollInterval):
+		}
 	}
 	return l.Listener.Accept()
 }
+
+// Close implements net.Listener.
+func (l *pausableListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
--- a/internal/jobentry/serve.go
+++ b/internal/jobentry/serve.go
@@ -69,14 +69,15 @@
 		ErrorLog: logging.NewStandardLogger(s.Log, "entry"), ConnContext: withConn, ConnState: s.connections.setState,
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(pausableListener{listener, s.Entry.overload.acceptPaused.Load}) }()
+	pausable := newPausableListener(listener, s.Entry.overload.acceptPaused.Load)
+	go func() { failed <- server.Serve(pausable) }()
 	defer server.Close()
 	select {
 	case err := <-failed:
 		return eris.Wrapf(ErrListen, "%v", err)
 	case <-ctx.Done():
 	}
-	s.stop(server, listener, failed)
+	s.stop(server, pausable, failed)
 	return nil
 }
 
--- a/internal/jobentry/serve_test.go
+++ b/internal/jobentry/serve_test.go
@@ -105,3 +105,19 @@
 	g.Eventually(stopped).WithTimeout(grace).Should(gomega.BeClosed())
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", grace))
 }
+
+// Guards against a stop that lasts until the process is killed: the HTTP server waits for Accept to return, also while the entry is
+// overloaded and accepts nothing.
+func TestPausedListenerEndsWhenItIsClosed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	l := newPausableListener(inner, func() bool { return true })
+	accepted := make(chan error, 1)
+	go func() {
+		_, err := l.Accept()
+		accepted <- err
+	}()
+	g.Expect(l.Close()).To(gomega.Succeed())
+	g.Eventually(accepted).Should(gomega.Receive(gomega.MatchError(net.ErrClosed)))
+}
