--- a/internal/jobentry/serve.go
+++ b/internal/jobentry/serve.go
@@ -35,8 +35,10 @@
 	// maxConnectionHold is the longest time that connections wait in the kernel for the first configuration. Connections
 	// that have waited for longer are reset, so that their callers retry or use another entry, because short jobs would be
 	// late.
-	maxConnectionHold   = 400 * time.Millisecond
-	callerIdleTimeout   = 60 * time.Second
+	maxConnectionHold = 400 * time.Millisecond
+	// callerIdleTimeout is how long a connection without a request stays open, also one that has not carried any yet.
+	callerIdleTimeout = 60 * time.Second
+	// callerHeaderTimeout is the longest time from the first byte of a request until its header is complete.
 	callerHeaderTimeout = 5 * time.Second
 )
 
@@ -70,7 +72,7 @@
 	}
 	failed := make(chan error, 1)
 	pausable := newPausableListener(listener, s.Entry.overload.acceptPaused.Load)
-	go func() { failed <- server.Serve(pausable) }()
+	go func() { failed <- server.Serve(callerListener{pausable}) }()
 	defer server.Close()
 	select {
 	case err := <-failed:
@@ -117,6 +119,9 @@
 
 func (s *CallerServer) announceClose() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+			r.Body = &callerBody{body: r.Body, conn: conn}
+		}
 		s.Handler.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: &s.stopping}, r)
 	})
 }
@@ -156,21 +161,35 @@
 	case <-time.After(time.Until(giveUp)): // the server waits while the entry is overloaded
 	}
 	s.awaitRequests(began, giveUp)
-	if open := s.connections.countBusy(); open > 0 {
-		s.Log.WithField("open", open).Warn("entry: giving up the open jobs before the process is killed")
+	if !s.endConnections(giveUp, (*callerConn).endUnlessPending) {
+		s.Log.WithField("open", s.connections.countPending()).Warn("entry: giving up the open jobs before the process is killed")
 		s.Entry.giveUpAll(context.Background())
-		s.awaitRequests(began, time.Now().Add(answerFlushTimeout))
-	}
-	if open := s.connections.countBusy(); open > 0 {
-		s.Log.WithField("open", open).Warn("entry: requests are still open at the end of the stop")
+		if !s.endConnections(time.Now().Add(answerFlushTimeout), func(c *callerConn) { c.endUnlessPending(); c.endBody() }) {
+			s.connections.forEach((*callerConn).answerIncompleteHeader)
+			s.Log.WithField("open", s.connections.countPending()).Warn("entry: requests are still open at the end of the stop")
+		}
 	}
-	// Not Shutdown, which leaves new connections open for a while and drops the requests that arrive on them.
+	// Not earlier: the HTTP server drops a request that it reads after the call.
 	if err := server.Close(); err != nil {
 		s.Log.WithField("error", err.Error()).Warn("entry: connections cannot be closed")
 	}
 	s.Log.WithField("took_ms", time.Since(began).Milliseconds()).Info("entry: stopped")
 }
 
+// endConnections calls end for every open connection until none is left, and returns false if one is left at a time.
+func (s *CallerServer) endConnections(until time.Time, end func(*callerConn)) bool {
+	for {
+		s.connections.forEach(end)
+		switch {
+		case s.connections.count() == 0:
+			return true
+		case !time.Now().Before(until):
+			return false
+		}
+		time.Sleep(requestPollInterval)
+	}
+}
+
 // awaitRequests waits until no request is open and balancerRotationTime has passed since the stop began, but not beyond a
 // time.
 func (s *CallerServer) awaitRequests(began, until time.Time) {
--- a/internal/jobentry/serve_test.go
+++ b/internal/jobentry/serve_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -106,6 +108,99 @@
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", grace))
 }
 
+// Guards against a connection that is closed without an answer while its caller sends the first request: clients open connections
+// ahead of their requests, and the time for the header was counted from the acceptance of the connection.
+func TestConnectionThatWasOpenedAheadIsServed(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	address, _, _ := startCallerServer(t, 4*time.Second, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	time.Sleep(callerHeaderTimeout + 300*time.Millisecond)
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: entry.example\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(conn, "\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_ = response.Body.Close()
+	g.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+}
+
+// Guards against a header that is never completed and keeps its connection open.
+func TestHeaderThatIsNotCompletedEndsTheConnection(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	address, _, _ := startCallerServer(t, 4*time.Second, func(http.ResponseWriter, *http.Request) {})
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(conn.SetReadDeadline(time.Now().Add(callerHeaderTimeout + time.Second))).To(gomega.Succeed())
+	_, err = conn.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.MatchError(io.EOF))
+}
+
+// Guards against a stop that closes a connection as if it had read the request of its caller. A caller whose connection is reset
+// submits the job again; one that gets an end of file cannot tell whether the job has run.
+func TestPlannedStopResetsConnectionsWithoutARequest(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		t.Run(map[bool]string{false: "new", true: "idle"}[used], func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			address, stop, stopped := startCallerServer(t, 4*time.Second, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+			conn, err := net.Dial("tcp", address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer conn.Close()
+			if used {
+				_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: entry.example\r\n\r\n")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			stop()
+			g.Eventually(stopped).WithTimeout(4 * time.Second).Should(gomega.BeClosed())
+			_, err = conn.Read(make([]byte, 1))
+			g.Expect(err).To(gomega.MatchError(syscall.ECONNRESET))
+		})
+	}
+}
+
+// Guards against a stop that drops a request of which it has read a part.
+func TestPlannedStopAnswersAnIncompleteRequest(t *testing.T) {
+	for name, part := range map[string]string{
+		"header": "POST / HTTP/1.1\r\nHost: entry.example\r\n",
+		"body":   "POST / HTTP/1.1\r\nHost: entry.example\r\nContent-Length: 100\r\n\r\n{",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			address, stop, stopped := startCallerServer(t, 4*time.Second, func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); errors.Is(err, ErrStopping) {
+					w.Header().Set("Retry-After", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})
+			conn, err := net.Dial("tcp", address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer conn.Close()
+			_, err = io.WriteString(conn, part)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			stop()
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_ = response.Body.Close()
+			g.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+			g.Expect(response.Header.Get("Retry-After")).To(gomega.Equal("1"))
+			g.Expect(response.Close).To(gomega.BeTrue())
+			g.Eventually(stopped).Should(gomega.BeClosed())
+		})
+	}
+}
+
 // Guards against a stop that lasts until the process is killed: the HTTP server waits for Accept to return, also while the entry is
 // overloaded and accepts nothing.
 func TestPausedListenerEndsWhenItIsClosed(t *testing.T) {
