--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -59,8 +59,10 @@
 // Dump returns the state of the entry as a *Dump. It returns ErrStopped or the error of the context.
 func (e *Entry) Dump(ctx context.Context) (any, error) {
 	var d *Dump
-	err := e.call(ctx, func(c *control) { d = c.dump() })
-	return d, err
+	if err := e.call(ctx, func(c *control) { d = c.dump() }); err != nil {
+		return nil, err // the control goroutine may still write the result
+	}
+	return d, nil
 }
 
 func (c *control) dump() *Dump {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -149,7 +149,7 @@
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	var flushers []interface{ Flush(context.Context) error }
-	_ = e.call(ctx, func(c *control) {
+	err := e.call(ctx, func(c *control) {
 		for _, p := range c.peers {
 			if p.link != nil {
 				flushers = append(flushers, p.link)
@@ -161,6 +161,9 @@
 			}
 		}
 	})
+	if err != nil {
+		return // the control goroutine may still write the list
+	}
 	for _, f := range flushers {
 		_ = f.Flush(ctx)
 	}
--- a/internal/entry/storemembers_test.go
+++ b/internal/entry/storemembers_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -122,3 +123,22 @@
 		return watches() == before
 	}, waitLimit, poll).Should(gomega.BeTrue())
 }
+
+// Guards against a result that the control goroutine writes after its caller has stopped waiting. The race detector reported it while
+// the test process got little processor time.
+func TestResultsThatComeTooLateAreNotRead(t *testing.T) {
+	t.Parallel()
+	h := newStoreHarness(t)
+	nodes := h.start("a", "b")
+	h.put("bench", 0)
+	h.waitUntilInForce("bench", 1, inForceWithin, nodes...)
+	e := nodes[0].Entry
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	e.post(func(*control) { time.Sleep(2 * flushTimeout) })
+	e.flushLinks(ctx)
+	d, err := e.Dump(ctx)
+	h.Expect(err).To(gomega.HaveOccurred())
+	h.Expect(d).To(gomega.BeNil())
+	time.Sleep(flushTimeout + 500*time.Millisecond)
+}
