--- a/internal/entry/storedocuments_test.go
+++ b/internal/entry/storedocuments_test.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// Guards against a restored store that no entry notices: a watch that begins after the store was restored waits for an index above
+// that of the data before, and no change comes. It was seen when the store was restored just after a change.
+func TestRestoreBetweenWatchesIsNoticed(t *testing.T) {
+	t.Parallel()
+	h := newStoreHarness(t)
+	nodes := h.start("a", "b")
+	h.put("bench", 0)
+	h.waitUntilInForce("bench", 1, inForceWithin, nodes...)
+	h.server.Snapshot()
+	for _, n := range nodes {
+		n.store.watchGate.Lock()
+	}
+	h.put("bench", 1)
+	h.waitUntilInForce("bench", 2, inForceWithin, nodes...)
+	index := h.index()
+	h.server.Restore()
+	for _, n := range nodes {
+		n.store.watchGate.Unlock()
+	}
+	h.Eventually(h.index, waitLimit, poll).Should(gomega.Equal(index))
+}
+
 // Guards against an edit that stays unknown because its editor died before it advanced the index, against the loss of a
 // single record, and against a check by every entry, or by none when some cannot reach the store.
 func TestFullCheckByOneEntryAtATime(t *testing.T) {
--- a/internal/entry/storeharness_test.go
+++ b/internal/entry/storeharness_test.go
@@ -229,6 +229,8 @@
 	cancelCalls []context.CancelFunc
 	// listCalls counts the reads of all records, recordGets those of one record.
 	listCalls, recordGets atomic.Int64
+	// watchGate holds back the watches that begin while a test has locked it.
+	watchGate sync.RWMutex
 }
 
 func (s *cuttableStore) cut() {
@@ -281,6 +283,8 @@
 }
 
 func (s *cuttableStore) Watch(ctx context.Context, prefix string, index uint64, wait time.Duration) (result store.Snapshot, err error) {
+	s.watchGate.RLock()
+	s.watchGate.RUnlock() //nolint:staticcheck // an empty section waits for the test
 	err = s.do(ctx, func(ctx context.Context) (err error) {
 		result, err = s.Store.Watch(ctx, prefix, index, wait)
 		return err
--- a/internal/entry/storesync.go
+++ b/internal/entry/storesync.go
@@ -26,6 +26,9 @@
 	// watchWait is the maximum duration of one watch while the store and the list are in sync. Each answer carries all
 	// watched keys, so a shorter wait costs bytes on every entry.
 	watchWait = 55 * time.Second
+	// confirmWait is the maximum duration of the watch after one that returned a change. If the store was restored from older data
+	// before that watch began, its index is below the one that the watch waits for, and the watch returns only when its wait is over.
+	confirmWait = 4 * time.Second
 	// watchWaitDivisor is the divisor of the expulsion delay that gives the duration of a watch while a lease is missing: an
 	// expulsion needs successive snapshots without the lease.
 	watchWaitDivisor = 2
@@ -74,6 +77,7 @@
 		}
 		s := e.parseSnapshot(result.Entries)
 		s.restored = result.Index < index
+		changed := result.Index != index
 		index = result.Index
 		nextWait := make(chan time.Duration, 1)
 		e.post(func(c *control) { nextWait <- c.handleSnapshot(s) })
@@ -81,6 +85,9 @@
 		case wait = <-nextWait:
 		case <-e.stopped:
 		}
+		if changed {
+			wait = min(wait, confirmWait)
+		}
 	}
 	return ctx.Err()
 }
