--- a/internal/standin/worker/ledger.go
+++ b/internal/standin/worker/ledger.go
@@ -65,6 +65,14 @@
 	return l.done[task]
 }
 
+// IsRunning reports whether a worker runs a task under a valid lease.
+func (l *Ledger) IsRunning(task string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.running[task]
+	return w != nil && !w.leaseExpired()
+}
+
 // Starts returns how many runs of a task were started.
 func (l *Ledger) Starts(task string) int {
 	l.mu.Lock()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +41,8 @@
 	Late float64
 	// Error is the share of calls that are answered with status 500 and not executed.
 	Error float64
+	// Reject is the share of starts that are answered with status 400 and not executed.
+	Reject float64
 	// Hang stops the progress of all runs. Fail makes every run fail when its run time is over.
 	Hang, Fail bool
 }
@@ -51,6 +55,8 @@
 	Need int64
 	// RunTime is the run time of a task.
 	RunTime time.Duration
+	// Labels are the labels of the worker. A task whose payload is LabelPayload of a label runs only where it is one of these.
+	Labels []string
 	// Ledger records the runs. All workers of a deployment share one.
 	Ledger *Ledger
 	// LeavingGrace is the time after the acknowledgement of its end within which the worker still accepts starts.
@@ -143,6 +149,20 @@
 	w.faults = f
 }
 
+// labelPayloadPrefix is the prefix of the payloads that LabelPayload returns.
+const labelPayloadPrefix = "label:"
+
+// LabelPayload returns the payload of a task that needs a label, for the check of the worker.
+func LabelPayload(label string) string { return labelPayloadPrefix + label }
+
+// Suspend stops the worker, as a suspended host does, for a time: it answers no call and ends no run, and its clock goes on. It
+// returns when the worker continues.
+func (w *Worker) Suspend(duration time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	time.Sleep(duration)
+}
+
 // Running returns the number of runs in progress.
 func (w *Worker) Running() int {
 	w.mu.Lock()
@@ -318,6 +338,8 @@
 func (w *Worker) startRun(p callParams) (int, any) {
 	r := w.runs[p.Task]
 	switch {
+	case rand.Float64() < w.faults.Reject:
+		return http.StatusBadRequest, map[string]any{}
 	case w.rejectsToken(p.FencingToken):
 		return w.conflictReply("fence")
 	case time.Duration(p.DeadlineMs)*time.Millisecond <= w.clock():
@@ -335,6 +357,10 @@
 		w.options.Ledger.recordViolation(fmt.Sprintf("worker %s starts task %s %s after its end was acknowledged",
 			w.id, p.Task, after.Round(time.Millisecond)))
 	}
+	if label, ok := strings.CutPrefix(p.Spec, labelPayloadPrefix); ok && !slices.Contains(w.options.Labels, label) {
+		w.options.Ledger.recordViolation(fmt.Sprintf("worker %s with the labels %v starts task %s, which needs %q",
+			w.id, w.options.Labels, p.Task, label))
+	}
 	if used := int64(len(w.runs)) * w.options.Need; used > w.options.MilliCPU {
 		w.options.Ledger.recordViolation(fmt.Sprintf("worker %s runs tasks for %d millicores, its capacity is %d",
 			w.id, used, w.options.MilliCPU))
