--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -26,6 +26,9 @@
 	ErrNoAnswer = eris.New("no answer")
 	// ErrConnectionRefused means that nothing listens on the address, so that the server did not receive the call.
 	ErrConnectionRefused = eris.New("connection refused")
+	// ErrConnectionClosed means that the server closed the connection, or its process ended, before it had sent a response. It
+	// includes ErrNoAnswer.
+	ErrConnectionClosed = eris.Wrap(ErrNoAnswer, "connection closed")
 	// ErrReplyTooLarge means that the response body exceeds Options.MaxReplyBytes.
 	ErrReplyTooLarge = eris.New("answer is too large")
 	// ErrInvalidRequest means that no HTTP request can be made from the base URL, the method or the path.
@@ -134,11 +137,15 @@
 	return reply, true, err
 }
 
-// transportError returns ErrConnectionRefused if the connection was refused, otherwise ErrNoAnswer.
+// transportError returns ErrConnectionRefused if the connection was refused, ErrConnectionClosed if it was closed without a response,
+// and otherwise ErrNoAnswer.
 func transportError(err error, connected bool) error {
 	if !connected && errors.Is(err, syscall.ECONNREFUSED) {
 		return eris.Wrapf(ErrConnectionRefused, "%v", err)
 	}
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return eris.Wrapf(ErrConnectionClosed, "%v", err)
+	}
 	return eris.Wrapf(ErrNoAnswer, "%v", err)
 }
 
--- a/internal/runs/incarnation_test.go
+++ b/internal/runs/incarnation_test.go
@@ -122,6 +122,28 @@
 	g.Expect(table.Idle()).To(gomega.BeTrue())
 }
 
+// Guards against tasks that start by the capacity and labels of a worker whose process has ended: the next one can be of another kind,
+// and the agent learned of it only from the next poll.
+func TestNothingStartsAfterTheWorkerClosedAConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, w, now := newTable(g, 10)
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	offer := func(number uint64) []runs.Command {
+		table.AddOffer(now, 1, wire.Offer{Number: number, Job: fmt.Sprint(number), Service: "bench", MilliCPU: 4, BudgetMillis: 10_000})
+		commands, _ := table.TakeOutput()
+		return commands
+	}
+	before := now
+	now = now.Add(time.Millisecond)
+	table.HandleConnectionClosed(now)
+	g.Expect(offer(1)).To(gomega.BeEmpty())
+	now = now.Add(time.Millisecond)
+	table.HandleSnapshot(now, before, w.snapshot(0)) // the answer to an earlier poll, on another connection
+	g.Expect(offer(2)).To(gomega.BeEmpty())
+	table.HandleSnapshot(now, now, w.snapshot(0))
+	g.Expect(offer(3)).To(gomega.HaveLen(1), "the same process answers")
+}
+
 // Guards against a task that starts on a worker without its label: the worker restarts under its id as another kind while the task
 // waits for capacity at the agent.
 func TestWaitingTaskIsNotStartedOnAnotherKindOfWorker(t *testing.T) {
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -126,6 +126,8 @@
 	unresponsive bool // the worker does not answer
 	// latestPollAt is when the poll was made whose snapshot was applied last. snapshotAt is when the last snapshot arrived.
 	latestPollAt, snapshotAt time.Time
+	// connectionClosedAt is when a call last ended because its connection was closed.
+	connectionClosedAt time.Time
 
 	offers           map[offerKey]*run
 	queue            queue
@@ -199,7 +201,7 @@
 		return "the worker does not answer"
 	case !t.hasSnapshot:
 		return "the runs of the worker are not known yet"
-	case t.announcements.otherAnnouncedAfter(t.announcement, t.latestPollAt):
+	case t.MayHaveRestarted(), t.announcements.otherAnnouncedAfter(t.announcement, t.latestPollAt):
 		return "the worker may have restarted"
 	case t.LeaseRunsOut(now):
 		return "the lease runs out, because a run does not end"
@@ -208,6 +210,15 @@
 	}
 }
 
+// HandleConnectionClosed records that the connection of a call to the worker was closed without an answer. The process of the worker
+// may have ended, and the next one may have another capacity or other labels, so nothing starts until a later poll is answered.
+func (t *Table) HandleConnectionClosed(now time.Time) { t.connectionClosedAt = now }
+
+// MayHaveRestarted reports whether no poll has been answered that was made after the connection of a call was closed.
+func (t *Table) MayHaveRestarted() bool {
+	return t.hasSnapshot && !t.connectionClosedAt.IsZero() && !t.latestPollAt.After(t.connectionClosedAt)
+}
+
 // StopAccepting refuses all further work and returns the waiting tasks; active runs continue.
 func (t *Table) StopAccepting(now time.Time) {
 	t.leaving = true
--- a/internal/runs/worker.go
+++ b/internal/runs/worker.go
@@ -49,6 +49,9 @@
 	ErrWorkerRestarted = eris.New("the worker has restarted")
 	// ErrNotListening means that no process listens at the worker's address.
 	ErrNotListening = eris.New("the worker does not listen")
+	// ErrConnectionClosed means that the connection ended without an answer, as it does when the process of the worker ends. The
+	// worker may have carried out the call.
+	ErrConnectionClosed = eris.New("the worker closed the connection")
 )
 
 // ProvesNotStarted reports whether an error of a start proves that the run has not started and never will.
--- a/internal/standin/worker/ledger.go
+++ b/internal/standin/worker/ledger.go
@@ -7,7 +7,8 @@
 )
 
 // Ledger records the runs on all workers of a deployment and every violation of an invariant: a task must not run on two
-// workers at the same time, and the tasks on a worker must not need more than its capacity. It is safe for concurrent use.
+// workers at the same time, also not because an expired lease is extended again, and the tasks on a worker must not need more than its
+// capacity. It is safe for concurrent use.
 type Ledger struct {
 	mu         sync.Mutex
 	running    map[string]*Worker // by task
@@ -39,6 +40,10 @@
 	defer l.mu.Unlock()
 	if done {
 		l.done[task]++
+		if other := l.running[task]; other != nil && other != w {
+			l.violations = append(l.violations, fmt.Sprintf("%s task %s ends on %s, whose lease had expired, while %s runs it",
+				time.Now().Format("05.000"), task, w.id, other.id))
+		}
 	}
 	if l.running[task] == w {
 		delete(l.running, task)
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -191,7 +191,7 @@
 	if renewLease {
 		request.ExtendLeaseTo = max(w.extendLease(now), 0)
 	}
-	if renewLease || w.control.table.OnlyOrphansRunning() {
+	if (renewLease || w.control.table.OnlyOrphansRunning()) && !w.control.table.MayHaveRestarted() {
 		request.Wait = maxPollWait
 	}
 	w.openPolls++
@@ -258,6 +258,10 @@
 		w.raiseFence()
 	case errors.Is(err, runs.ErrNotListening):
 		w.handleRefusedConnection(now)
+	case errors.Is(err, runs.ErrConnectionClosed):
+		c.log.WithField("error", err.Error()).Debug("agent: the worker closed the connection, nothing starts until it has answered a poll")
+		c.table.HandleConnectionClosed(now)
+		c.loadDirty = true
 	default:
 		c.log.WithField("error", err.Error()).Debug("agent: poll of the worker failed, will poll again")
 	}
@@ -291,6 +295,10 @@
 	if errors.Is(e.err, runs.ErrFenced) {
 		c.worker.raiseFence()
 	}
+	if errors.Is(e.err, runs.ErrConnectionClosed) {
+		c.table.HandleConnectionClosed(now)
+		c.loadDirty = true
+	}
 	if e.err != nil {
 		c.log.WithFields(log.Fields{
 			"job": e.ref.Task.Job, "task": e.ref.Task.Index, "attempt": e.ref.Attempt, "error": e.err.Error(),
