--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -156,12 +156,12 @@
 // LabelPayload returns the payload of a task that needs a label, for the check of the worker.
 func LabelPayload(label string) string { return labelPayloadPrefix + label }
 
-// Suspend stops the worker, as a suspended host does, for a time: it answers no call and ends no run, and its clock goes on. It
-// returns when the worker continues.
-func (w *Worker) Suspend(duration time.Duration) {
+// Suspend stops the worker, as a suspended host does, while f runs: it answers no call and ends no run, and its clock goes on. f must
+// suspend the agent, not the caller before the call: the worker can stop only once no call waits for an answer that is withheld.
+func (w *Worker) Suspend(f func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	time.Sleep(duration)
+	f()
 }
 
 // Running returns the number of runs in progress.
