--- a/internal/workeragent/metrics.go
+++ b/internal/workeragent/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"sync/atomic"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/catalogsync"
 	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/metrics"
 	"github.com/coltsfootspur/coltsfootspur/internal/runs"
@@ -23,6 +24,8 @@
 	// AnnouncementsNotInForce counts announcements that were outdated or of another incarnation than the one that answers,
 	// WorkerIncarnations the incarnations of the worker that have answered a poll.
 	AnnouncementsNotInForce, WorkerIncarnations expvar.Int
+	// Catalog counts transfers of the configuration.
+	Catalog catalogsync.Metrics
 	// EvacuationChanges counts changes of the set of evacuated data centres.
 	EvacuationChanges expvar.Int
 	evacuation        atomic.Pointer[evacuation.Summary]
@@ -52,6 +55,7 @@
 	vars.Set("leases_withheld", &m.LeasesWithheld)
 	vars.Set("announcements_not_in_force", &m.AnnouncementsNotInForce)
 	vars.Set("worker_incarnations", &m.WorkerIncarnations)
+	m.Catalog.AddTo(vars)
 	vars.Set("evacuation", expvar.Func(func() any { return m.evacuation.Load() }))
 	vars.Set("evacuation_changes", &m.EvacuationChanges)
 	vars.Set("run_ms", m.RunMillis)
