--- a/internal/entry/storeharness_test.go
+++ b/internal/entry/storeharness_test.go
@@ -282,9 +282,13 @@
 	return result, err
 }
 
-func (s *cuttableStore) Watch(ctx context.Context, prefix string, index uint64, wait time.Duration) (result store.Snapshot, err error) {
+func (s *cuttableStore) awaitGate() {
 	s.watchGate.RLock()
-	s.watchGate.RUnlock() //nolint:staticcheck // an empty section waits for the test
+	defer s.watchGate.RUnlock()
+}
+
+func (s *cuttableStore) Watch(ctx context.Context, prefix string, index uint64, wait time.Duration) (result store.Snapshot, err error) {
+	s.awaitGate()
 	err = s.do(ctx, func(ctx context.Context) (err error) {
 		result, err = s.Store.Watch(ctx, prefix, index, wait)
 		return err
--- a/internal/jobentry/connections.go
+++ b/internal/jobentry/connections.go
@@ -87,7 +87,8 @@
 	return n
 }
 
-// callerListener accepts connections as callerConn. The HTTP server must get its connections from it directly.
+// callerListener accepts connections as callerConn. The HTTP server must get its connections from it directly. A listener below it whose
+// connections are not TCP connections has to pass on their SetLinger, CloseWrite and SyscallConn.
 type callerListener struct{ net.Listener }
 
 // Accept implements net.Listener.
@@ -100,7 +101,7 @@
 }
 
 // callerConn is a connection of a caller. It records whether the entry has read any part of a request that is not answered yet.
-// Without one it can be closed at any time; Close then resets it, as the kernel does with a connection whose data nobody has read, so
+// Without one it can be closed at any time. Close then resets it, as the kernel does with a connection whose data nobody has read, so
 // that a caller that is just sending a request learns that the request was not read. An end of file would leave that open.
 type callerConn struct {
 	net.Conn
--- a/internal/jobentry/serve.go
+++ b/internal/jobentry/serve.go
@@ -158,15 +158,19 @@
 	}
 	select {
 	case <-served: // every accepted connection is tracked now
-	case <-time.After(time.Until(giveUp)): // the server waits while the entry is overloaded
+	case <-time.After(time.Until(giveUp)): // the exit does not depend on the listener
 	}
 	s.awaitRequests(began, giveUp)
 	if !s.endConnections(giveUp, (*callerConn).endUnlessPending) {
-		s.Log.WithField("open", s.connections.countPending()).Warn("entry: giving up the open jobs before the process is killed")
-		s.Entry.giveUpAll(context.Background())
+		if open := s.connections.countPending(); open > 0 {
+			s.Log.WithField("open", open).Warn("entry: giving up the open jobs before the process is killed")
+		}
+		s.Entry.giveUpAll(context.Background()) // also refuses requests that are read from now on
 		if !s.endConnections(time.Now().Add(answerFlushTimeout), func(c *callerConn) { c.endUnlessPending(); c.endBody() }) {
 			s.connections.forEach((*callerConn).answerIncompleteHeader)
-			s.Log.WithField("open", s.connections.countPending()).Warn("entry: requests are still open at the end of the stop")
+			if open := s.connections.countPending(); open > 0 {
+				s.Log.WithField("open", open).Warn("entry: requests are still open at the end of the stop")
+			}
 		}
 	}
 	// Not earlier: the HTTP server drops a request that it reads after the call.
