--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -68,7 +68,7 @@
 	linksCheckedAt time.Time
 	evacuation     evacuation.Tracker // the operator's requests to evacuate data centres
 	// jobQueries holds the queries to other entries that wait for a reply, by number.
-	jobQueries map[uint64]chan<- struct{}
+	jobQueries map[uint64]chan<- *wire.JobReply
 	// refusingJobs is true at the end of a planned stop: new jobs are answered with NotRun.
 	refusingJobs bool
 }
@@ -90,7 +90,7 @@
 
 func newControl(e *Entry) *control {
 	c := &control{
-		entry: e, log: e.options.Log, agents: make(map[scheduler.AgentID]*agentConn), jobQueries: make(map[uint64]chan<- struct{}),
+		entry: e, log: e.options.Log, agents: make(map[scheduler.AgentID]*agentConn), jobQueries: make(map[uint64]chan<- *wire.JobReply),
 		scheduler: scheduler.New(scheduler.DefaultConfig(e.options.DataCentre)), catalogs: newCatalogState(e.options.CatalogBytesPerSecond),
 	}
 	c.scheduler.SetDataCentres(e.options.DataCentres)
--- a/internal/jobentry/jobquery.go
+++ b/internal/jobentry/jobquery.go
@@ -21,11 +21,26 @@
 	maxQueriedID = 16 << 10
 )
 
-// HasOpenJob reports whether a job with the id is open at this entry or at another one in contact.
-func (e *Entry) HasOpenJob(ctx context.Context, id string) bool {
-	found := make(chan bool, 1)
-	isOpen := e.runInControl(ctx, func(c *control, _ time.Time) { found <- c.scheduler.Job(id) != nil }) && <-found
-	return isOpen || e.askOtherEntries(ctx, wire.JobQuery{Job: id})
+// FindOpenJob reports whether a job with the id is open at this entry or at another one in contact, and whether a task of it has started.
+func (e *Entry) FindOpenJob(ctx context.Context, id string) (open, started bool) {
+	found := make(chan *wire.JobReply, 1)
+	ran := e.runInControl(ctx, func(c *control, _ time.Time) { found <- c.describeJob(id) })
+	if ran {
+		if reply := <-found; reply != nil {
+			return true, reply.Started
+		}
+	}
+	reply := e.askOtherEntries(ctx, wire.JobQuery{Job: id})
+	return reply != nil, reply != nil && reply.Started
+}
+
+// describeJob returns the reply to a query for a job, without the fields that identify the query, or nil if the job is not open here.
+func (c *control) describeJob(id string) *wire.JobReply {
+	j := c.scheduler.Job(id)
+	if j == nil {
+		return nil
+	}
+	return &wire.JobReply{Started: j.TasksStarted > 0}
 }
 
 // CancelJob ends a job that is open at this entry or at another one in contact: its submitters get the answer GivenUp. It returns
@@ -35,32 +50,32 @@
 	isOpen := e.runInControl(ctx, func(c *control, _ time.Time) {
 		found <- c.scheduler.GiveUp(id, "cancelled by the caller")
 	}) && <-found
-	return isOpen || e.askOtherEntries(ctx, wire.JobQuery{Job: id, Cancel: true})
+	return isOpen || e.askOtherEntries(ctx, wire.JobQuery{Job: id, Cancel: true}) != nil
 }
 
-// askOtherEntries sends a query to the other entries, through agents, because entries have no links to each other. It returns whether
-// one of them has the job.
-func (e *Entry) askOtherEntries(ctx context.Context, q wire.JobQuery) bool {
+// askOtherEntries sends a query to the other entries, through agents, because entries have no links to each other. It returns the
+// reply of the one that has the job, or nil if none has arrived in time.
+func (e *Entry) askOtherEntries(ctx context.Context, q wire.JobQuery) *wire.JobReply {
 	if len(q.Job) > maxQueriedID {
-		return false
+		return nil
 	}
 	q.Number = e.lastJobQuery.Add(1)
-	replied := make(chan struct{}, 1)
+	replied := make(chan *wire.JobReply, 1)
 	e.post(query{run: func(c *control, _ time.Time) { c.sendJobQuery(q, replied) }, done: make(chan struct{})})
 	defer e.post(query{run: func(c *control, _ time.Time) { delete(c.jobQueries, q.Number) }, done: make(chan struct{})})
 	timeout := time.NewTimer(jobQueryTimeout)
 	defer timeout.Stop()
 	select {
-	case <-replied:
-		return true
+	case reply := <-replied:
+		return reply
 	case <-timeout.C:
 	case <-ctx.Done():
 	case <-e.done:
 	}
-	return false
+	return nil
 }
 
-func (c *control) sendJobQuery(q wire.JobQuery, replied chan<- struct{}) {
+func (c *control) sendJobQuery(q wire.JobQuery, replied chan<- *wire.JobReply) {
 	c.jobQueries[q.Number] = replied
 	sent := 0
 	for _, a := range c.agents {
@@ -73,15 +88,16 @@
 
 // answerJobQuery replies to the query of another entry if the job is open here. The query can arrive through several agents.
 func (c *control) answerJobQuery(a *agentConn, m *wire.JobQuery) {
-	j := c.scheduler.Job(m.Job)
-	if j == nil {
+	reply := c.describeJob(m.Job)
+	if reply == nil {
 		return
 	}
 	if m.Cancel {
 		c.log.WithFields(log.Fields{"job": m.Job, "agent": a.id}).Info("entry: job is cancelled through another entry")
 		c.scheduler.GiveUp(m.Job, "cancelled by the caller")
 	}
-	c.send(a, &wire.JobReply{Asker: m.Asker, Number: m.Number})
+	reply.Asker, reply.Number = m.Asker, m.Number
+	c.send(a, reply)
 }
 
 func (c *control) applyJobReply(m *wire.JobReply) {
@@ -90,5 +106,5 @@
 		return // another reply to the same query came first
 	}
 	delete(c.jobQueries, m.Number)
-	replied <- struct{}{}
+	replied <- m
 }
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -198,6 +198,8 @@
 type JobReply struct {
 	Asker  uint64 `cbor:"1,keyasint"`
 	Number uint64 `cbor:"2,keyasint"`
+	// Started is true if a task of the job has started.
+	Started bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Type implements Message.
