--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -39,6 +39,16 @@
 	Version  uint64
 	Queues   []Queue
 	Services []Service
+	Limits   Limits
+}
+
+// Limits are the limits of one request of a caller. A field of 0 means the default of the entry.
+type Limits struct {
+	// HeaderBytes is the largest size of a header section with its request line, BodyBytes that of a body.
+	HeaderBytes, BodyBytes int
+	// HeaderTimeout is the longest time for a header section to arrive, IdleTimeout how long a connection stays open between two
+	// requests.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // MatchQueue returns the queue of a request: among the queues that match its host and path, the one with the longest prefix.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -18,6 +18,10 @@
 	MaxSteps = 64
 	// MaxPayload is the largest size of the payload in bytes.
 	MaxPayload = 4000
+	// MaxID is the largest size of an id in bytes, and MaxLabel that of the name of a label or a rack. They bound what an open job
+	// keeps of its request. Ids of the load target have up to 40 bytes, names up to 32.
+	MaxID    = 1024
+	MaxLabel = 256
 )
 
 // ErrInvalid means that a job can never run as it is described.
@@ -80,6 +84,8 @@
 	switch {
 	case j.ID == "":
 		return eris.Wrap(ErrInvalid, "the job has no id")
+	case len(j.ID) > MaxID:
+		return eris.Wrapf(ErrInvalid, "the id has %d bytes, the limit is %d", len(j.ID), MaxID)
 	case len(j.Payload) > MaxPayload:
 		return eris.Wrapf(ErrInvalid, "the payload has %d bytes, the limit is %d", len(j.Payload), MaxPayload)
 	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
@@ -105,6 +111,9 @@
 	if s.Needs.MilliCPU < 0 || s.Needs.MemoryMB < 0 || s.Needs.Accelerators < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 {
 		return eris.Wrapf(ErrInvalid, "step %d has a negative resource need, estimate or worker limit", index)
 	}
+	if len(s.Label) > MaxLabel || len(s.DataRack) > MaxLabel {
+		return eris.Wrapf(ErrInvalid, "step %d has a label or a rack of more than %d bytes", index, MaxLabel)
+	}
 	if len(s.After) > index {
 		return eris.Wrapf(ErrInvalid, "step %d depends on %d steps, more than come before it", index, len(s.After))
 	}
--- a/internal/jobentry/connections.go
+++ b/internal/jobentry/connections.go
@@ -7,8 +7,8 @@
 )
 
 // connections counts the connections of a server that carry a request or have not carried one yet. A server that closes drops each
-// request whose header it has not read, so it must not do so before. A connection without a request is closed after
-// callerHeaderTimeout.
+// request whose header it has not read, so it must not do so before. A connection without a request is closed by the
+// time limits of intake.Port.
 type connections struct {
 	mu   sync.Mutex
 	busy map[net.Conn]struct{}
--- a/internal/jobentry/serve.go
+++ b/internal/jobentry/serve.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/intake"
 	"github.com/coltsfootspur/coltsfootspur/internal/logging"
 )
 
@@ -35,9 +36,7 @@
 	// maxConnectionHold is the longest time that connections wait in the kernel for the first configuration. Connections
 	// that have waited for longer are reset, so that their callers retry or use another entry, because short jobs would be
 	// late.
-	maxConnectionHold   = 400 * time.Millisecond
-	callerIdleTimeout   = 60 * time.Second
-	callerHeaderTimeout = 5 * time.Second
+	maxConnectionHold = 400 * time.Millisecond
 )
 
 // CallerServer serves the HTTP interface for callers of an entry, and stops it without interrupting requests.
@@ -47,6 +46,8 @@
 	// Grace is the time from the stop signal until the process is killed.
 	Grace time.Duration
 	Log   log.Interface
+	// Port bounds what callers can hold. Its time limits apply to connections without a request.
+	Port *intake.Port
 
 	stopping    atomic.Bool
 	connections *connections
@@ -63,10 +64,17 @@
 	if err != nil {
 		return err
 	}
+	listener = s.Port.Listen(listener)
 	s.connections = newConnections()
 	server := &http.Server{
-		Handler: s.announceClose(), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		ErrorLog: logging.NewStandardLogger(s.Log, "entry"), ConnContext: withConn, ConnState: s.connections.setState,
+		Handler: s.announceClose(), ErrorLog: logging.NewStandardLogger(s.Log, "entry"),
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return s.Port.ConnContext(withConn(ctx, conn), conn)
+		},
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			s.connections.setState(conn, state)
+			s.Port.ConnState(conn, state)
+		},
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(pausableListener{listener, s.Entry.overload.acceptPaused.Load}) }()
@@ -115,8 +123,9 @@
 }
 
 func (s *CallerServer) announceClose() http.Handler {
+	handler := s.Port.Handler(s.Handler)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.Handler.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: &s.stopping}, r)
+		handler.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: &s.stopping}, r)
 	})
 }
 
--- a/internal/jobentry/serve_test.go
+++ b/internal/jobentry/serve_test.go
@@ -14,8 +14,13 @@
 	"github.com/onsi/gomega"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
+	"github.com/coltsfootspur/coltsfootspur/internal/intake"
 )
 
+func newTestPort(logger log.Interface) *intake.Port {
+	return intake.NewBudget(intake.NewShares(intake.Resources{})).CallerPort(intake.PortOptions{Name: "callers", Log: logger})
+}
+
 // startCallerServer serves a handler on a free port. stop begins the planned stop; stopped is closed when it is done.
 func startCallerServer(t *testing.T, grace time.Duration, handler http.HandlerFunc) (address string, stop func(), stopped <-chan struct{}) {
 	g := gomega.NewWithT(t)
@@ -31,7 +36,7 @@
 	g.Expect(reserved.Close()).To(gomega.Succeed())
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	server := &CallerServer{Entry: e, Handler: handler, Grace: grace, Log: logger}
+	server := &CallerServer{Entry: e, Handler: handler, Grace: grace, Log: logger, Port: newTestPort(logger)}
 	go func() {
 		defer close(done)
 		_ = server.Serve(ctx, address)
