--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -35,6 +35,8 @@
 const (
 	// idleTimeout closes idle connections before a firewall or NAT on the way drops their state.
 	idleTimeout = 30 * time.Second
+	// maxReplyHeaderBytes is the largest accepted header section of a response. Servers of the platform send less than 1 KB.
+	maxReplyHeaderBytes = 64 << 10
 	// maxErrorTextBytes bounds the part of a response body that goes into an error message.
 	maxErrorTextBytes = 200
 )
@@ -79,6 +81,8 @@
 		MaxIdleConnsPerHost: o.MaxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxReplyHeaderBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -104,6 +104,9 @@
 
 // countHeader counts bytes of a header section and returns the result of the read.
 func (c *Conn) countHeader(data []byte, err error) (int, error) {
+	if c.port.options.Encrypted {
+		return len(data), err
+	}
 	c.scan.add(data)
 	if c.scan.bytes > c.port.limits().HeaderBytes {
 		c.port.refusals.add(headerTooLarge)
@@ -137,7 +140,7 @@
 
 // answerEviction sends an answer to a client whose header section has begun to arrive. The handler answers one whose body has.
 func (c *Conn) answerEviction() {
-	if c.evictedIn != phaseHeader || c.readBytes == 0 || c.linger.Load() {
+	if c.evictedIn != phaseHeader || c.readBytes == 0 || c.linger.Load() || c.port.options.Encrypted {
 		return
 	}
 	if c.cause == headerTooSlow {
@@ -191,6 +194,9 @@
 func (c *Conn) beginSection() {
 	rest := c.readBytes - int64(c.scan.bytes) - max(c.bodySize, 0)
 	c.scan, c.readBytes = headerScan{}, 0
+	if c.port.options.Encrypted {
+		return
+	}
 	if c.bodySize >= 0 && rest <= 0 {
 		return
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -25,15 +25,14 @@
 	allowanceValues = 1024
 )
 
-// Costs in bytes of memory, rounded up from the figures in docs/design/intake.md.
+// Costs in bytes of memory, rounded up from the measurements in docs/design/intake.md.
 const (
-	// pendingCost is the cost of a pending connection: 8 KiB of stacks, 11 KiB of buffers, 4 KiB of request and connection, and
-	// its allowance.
-	pendingCost = 52 << 10
+	// pendingCost is the cost of a pending connection: 15 KB without a request, 36 KB with all of its allowance.
+	pendingCost = 40 << 10
 	// servedCost is the cost of a connection whose request is served. Its body and most of its header section are released.
 	servedCost = 28 << 10
-	// lineCost is the cost of a header line: its slot in the map, at the lowest load of the map, and its strings.
-	lineCost = 256
+	// lineCost is the cost of a header line: 85 bytes with a name of its own, and as much again while the map grows.
+	lineCost = 160
 	// headerByteCost is the cost of a byte of a header section: the buffer of a line grows by copying, and net/http keeps parts of
 	// the request line in several forms.
 	headerByteCost = 4
@@ -59,7 +58,11 @@
 	// sidePortShare is the part of the descriptors that each other port gets, and maxSidePortConns the most that it needs: its
 	// clients are the balancer, operators, and other processes that open a link.
 	sidePortShare    = 16
-	maxSidePortConns = 128
+	maxSidePortConns = 64
+	// linkPortShare and maxLinkPortConns are the same for the port of links, whose connections count until the link is open. All
+	// agents dial at once when an entry starts.
+	linkPortShare    = 8
+	maxLinkPortConns = 256
 	minConns         = 8
 )
 
@@ -78,8 +81,8 @@
 type Shares struct {
 	// MaxPending and MaxOpen bound the connections of callers that are pending, and all of them.
 	MaxPending, MaxOpen int
-	// MaxSideConns bounds the connections of each other port.
-	MaxSideConns int
+	// MaxLinkConns bounds the connections at the port of links that are not open links yet, MaxSideConns those of each other port.
+	MaxLinkConns, MaxSideConns int
 	// HeaderBytes and BodyBytes are the sizes of the pools.
 	HeaderBytes, BodyBytes int64
 	// GoMemoryBytes is the limit for the Go runtime (debug.SetMemoryLimit).
@@ -101,6 +104,7 @@
 	return Shares{
 		MaxPending:   pending,
 		MaxOpen:      max(min(pending+int(servedSixteenths*part/servedCost), callers), minConns),
+		MaxLinkConns: max(min(descriptors/linkPortShare, maxLinkPortConns), minConns),
 		MaxSideConns: max(min(descriptors/sidePortShare, maxSidePortConns), minConns),
 		HeaderBytes:  headerSixteenths * part, BodyBytes: bodySixteenths * part, GoMemoryBytes: goSixteenths * part,
 	}
--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"context"
+	"crypto/tls"
 	"expvar"
 	"net"
 	"net/http"
@@ -68,10 +69,14 @@
 	Limits func() Limits
 	// KeepHeaders are the names of the fields that handlers use. Of a header section beyond the allowance, the others are dropped.
 	KeepHeaders []string
-	Log         log.Interface
+	// Encrypted is true if the server decrypts what it reads from the connections of the port. Header sections are then bounded by
+	// the server, and the port bounds the connections and their time.
+	Encrypted bool
+	Log       log.Interface
 }
 
-// Port bounds the connections of one listener. Its methods ConnState, ConnContext and Handler have to be installed in the server.
+// Port bounds the connections of one listener, which Listen returns. Install, or the methods ConnState, ConnContext and Handler,
+// connect it with the server.
 type Port struct {
 	budget   *Budget
 	options  PortOptions
@@ -91,7 +96,13 @@
 	return b.newPort(o)
 }
 
-// SidePort returns a port for other clients than callers.
+// LinkPort returns the port of links.
+func (b *Budget) LinkPort(o PortOptions) *Port {
+	o.MaxPending, o.MaxOpen = b.shares.MaxLinkConns, b.shares.MaxLinkConns
+	return b.newPort(o)
+}
+
+// SidePort returns a port for other clients than callers and links.
 func (b *Budget) SidePort(o PortOptions) *Port {
 	o.MaxPending, o.MaxOpen = b.shares.MaxSideConns, b.shares.MaxSideConns
 	return b.newPort(o)
@@ -298,12 +309,26 @@
 	return done
 }
 
+// Install sets the hooks and the handler of a server that has no hooks of its own.
+func (p *Port) Install(s *http.Server) {
+	s.Handler, s.ConnState, s.ConnContext = p.Handler(s.Handler), p.ConnState, p.ConnContext
+}
+
 // connKey is the context key of the connection of a request.
 type connKey struct{}
 
 // ConnContext is a hook for http.Server.
 func (p *Port) ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	return context.WithValue(ctx, connKey{}, unwrap(conn))
+}
+
+// unwrap returns the connection of the port below TLS, or nil if there is none.
+func unwrap(conn net.Conn) *Conn {
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
+	c, _ := conn.(*Conn)
+	return c
 }
 
 func connOf(r *http.Request) *Conn {
@@ -313,8 +338,8 @@
 
 // ConnState is a hook for http.Server.
 func (p *Port) ConnState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*Conn)
-	if !ok {
+	c := unwrap(conn)
+	if c == nil {
 		return
 	}
 	switch state {
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
+	"github.com/coltsfootspur/coltsfootspur/internal/intake"
 	"github.com/coltsfootspur/coltsfootspur/internal/job"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/logging"
@@ -52,6 +53,8 @@
 	Clock       clock.Clock
 	// Metrics are updated by the entry; nil means that they are not published.
 	Metrics *Metrics
+	// LinkPort bounds connections at LinkAddress until they are links; nil means the defaults of a process.
+	LinkPort *intake.Port
 }
 
 // Entry is an entry process. Create it with New and call Run once.
@@ -80,6 +83,9 @@
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics()
 	}
+	if o.LinkPort == nil {
+		o.LinkPort = intake.NewBudget(intake.NewShares(intake.Resources{})).LinkPort(intake.PortOptions{Name: "links", Log: o.Log})
+	}
 	listener, err := net.Listen("tcp", o.LinkAddress)
 	if err != nil {
 		return nil, eris.Wrapf(ErrListen, "%v", err)
@@ -99,8 +105,9 @@
 		Handler: http.HandlerFunc(e.acceptLink), ReadHeaderTimeout: readHeaderTimeout,
 		ErrorLog: logging.NewStandardLogger(e.options.Log, "entry"),
 	}
+	e.options.LinkPort.Install(server)
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(e.listener) }()
+	go func() { failed <- server.Serve(e.options.LinkPort.Listen(e.listener)) }()
 	go e.control.run(ctx)
 	defer server.Close()
 	select {
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -15,6 +15,8 @@
 	maxQueuedLines = 1024
 	// maxLinesPerSecond is the number of lines that are accepted in each second. Further lines are dropped and counted.
 	maxLinesPerSecond = 400
+	// maxLineBytes is the length from which a line is cut, so that the queue holds at most 4 MB. Lines contain text of clients.
+	maxLineBytes = 4 << 10
 	// writeRetryDelay and maxWriteTries bound the wait for an output that temporarily accepts no data.
 	writeRetryDelay = 5 * time.Millisecond
 	maxWriteTries   = 20
@@ -45,18 +47,23 @@
 	return b
 }
 
-// Write accepts whole lines or parts of lines: the logfmt handler writes each field separately. It never returns an error.
+// Write accepts whole lines or parts of lines: the logfmt handler writes each field separately. It cuts lines at maxLineBytes. It
+// never returns an error.
 func (b *Bounded) Write(piece []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.partial = append(b.partial, piece...)
-	for {
-		end := bytes.IndexByte(b.partial, '\n')
+	for rest := piece; ; {
+		end := bytes.IndexByte(rest, '\n')
+		part := rest
+		if end >= 0 {
+			part = rest[:end]
+		}
+		b.partial = append(b.partial, part[:min(len(part), maxLineBytes-len(b.partial))]...)
 		if end < 0 {
 			return len(piece), nil
 		}
-		b.enqueue(b.partial[:end+1])
-		b.partial = b.partial[end+1:]
+		b.enqueue(append(b.partial, '\n'))
+		b.partial, rest = b.partial[:0], rest[end+1:]
 	}
 }
 
