--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -19,6 +19,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/intake"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/logging"
 )
@@ -35,6 +36,8 @@
 	defaultDumpTimeout = 2 * time.Second
 	readHeaderTimeout  = 5 * time.Second
 	shutdownTimeout    = time.Second
+	// maxHeaderBytes is the largest header section; those of operators' tools have less than 1 KB.
+	maxHeaderBytes = 16 << 10
 )
 
 // Options configures a Server. Token, Role, Vars and Dump are required.
@@ -58,6 +61,8 @@
 	Refresh func(ctx context.Context)
 	// DumpTimeout bounds Dump and Refresh; 0 means 2 s.
 	DumpTimeout time.Duration
+	// Port bounds what clients can hold; nil means the defaults of a process. Its Encrypted option must match TLS.
+	Port *intake.Port
 	// Log is the logger; nil means the default logger.
 	Log log.Interface
 }
@@ -82,6 +87,10 @@
 	if options.Log == nil {
 		options.Log = log.Log
 	}
+	if options.Port == nil {
+		budget := intake.NewBudget(intake.NewShares(intake.Resources{}))
+		options.Port = budget.SidePort(intake.PortOptions{Name: "operators", Encrypted: options.TLS != nil, Log: options.Log})
+	}
 	listener, err := net.Listen("tcp", options.Address)
 	if err != nil {
 		return nil, eris.Wrapf(ErrListen, "%v", err)
@@ -118,10 +127,12 @@
 		s.listener = listener
 	}
 	server := &http.Server{
-		Handler: s.echo, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: logging.NewStandardLogger(s.options.Log, "admin"),
+		Handler: s.echo, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: logging.NewStandardLogger(s.options.Log, "admin"),
 	}
+	s.options.Port.Install(server)
 	served := make(chan error, 1)
-	listener := s.listener
+	listener := s.options.Port.Listen(s.listener)
 	if s.options.TLS != nil {
 		listener = tls.NewListener(listener, s.options.TLS)
 	}
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -26,6 +26,7 @@
 	logWarnings(logger, "entry", s.set)
 	s.options.Log = logger
 	s.options.MaxAnswerBytes = s.maxAnswerMB << 20
+	s.options.Resources.MemoryBytes = int64(s.memoryMB) << 20
 	store, err := s.store.open()
 	if err != nil {
 		return reportError(std, err, ExitUsage)
--- a/internal/command/entry_settings.go
+++ b/internal/command/entry_settings.go
@@ -12,6 +12,8 @@
 	minSubmissionLimit = 1000
 	maxSubmissionLimit = 50_000_000
 	maxAnswerLimitMB   = 1 << 16
+	maxMemoryMB        = 1 << 20
+	maxDescriptors     = 1 << 20
 	minLeaseTTL        = 2 * time.Second
 	maxLeaseTTL        = 10 * time.Minute
 	maxDelay           = 10 * time.Minute
@@ -29,6 +31,7 @@
 	tls         tlsSettings
 	options     entry.Options
 	maxAnswerMB int
+	memoryMB    int
 }
 
 func (s *entrySettings) register() {
@@ -43,6 +46,10 @@
 		"most submissions that are remembered")
 	set.Int(&s.maxAnswerMB, "table-mb", entry.DefaultMaxAnswerBytes>>20, 1, maxAnswerLimitMB,
 		"memory in MiB for remembered answers")
+	set.Int(&s.memoryMB, "memory-mb", 0, 0, maxMemoryMB,
+		"memory of the process in MiB, from which the limits for clients are derived; 0 for half of the memory of the host")
+	set.Int(&o.Resources.Descriptors, "max-descriptors", 0, 0, maxDescriptors,
+		"file descriptors of the process, from which the limits for clients are derived; 0 for the limit of the system")
 	set.Duration(&o.SilentAgentTimeout, "agent-memory", entry.DefaultSilentAgentTimeout, minRetention, maxRetention,
 		"how long a silent agent keeps keys of a lost entry from being run; the same for all entries, at least the retention")
 	set.Duration(&o.LeaseTTL, "lease-ttl", entry.DefaultLeaseTTL, minLeaseTTL, maxLeaseTTL, "time to live of the lease in the store")
--- a/internal/command/status_entry.go
+++ b/internal/command/status_entry.go
@@ -28,6 +28,7 @@
 	Refusals           map[string]uint64 `json:"refusals"`
 	SilentLinks        uint64            `json:"silent_links"`
 	SuspectedLinks     uint64            `json:"suspected_links"`
+	Intake             intakeMetrics     `json:"intake"`
 	Services           map[string]struct {
 		EjectedUpstreams   int     `json:"ejected_upstreams"`
 		ExpectedWaitMillis float64 `json:"expected_wait_ms"`
@@ -53,6 +54,9 @@
 	r.addLine("wasted", "%d messages: %s", m.WastedMessages, formatCounts(m.WastedByCause))
 	r.addLine("links", "%s; %d went silent and %d were suspected since the start",
 		formatLinks(&d), m.SilentLinks, m.SuspectedLinks)
+	r.addLine("clients", "%s of header sections, %s of bodies", formatUse(m.Intake.HeaderBytes, m.Intake.HeaderLimit),
+		formatUse(m.Intake.BodyBytes, m.Intake.BodyLimit))
+	r.addTable("PORT|OPEN|MOST|PENDING|MOST PENDING|REFUSED", m.Intake.portRows())
 	r.addTable("SERVICE|TEAM|REVISION|UPSTREAMS|EJECTED|WAITING|URGENT|EXPECTED WAIT|OPEN|OVERLOADED|NO UPSTREAM|DEADLINE",
 		serviceRows(&d, m))
 	r.addTable("AGENT|DATA CENTRE|STATE|SLOTS|OPEN|SERVICES", agentRows(&d))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/admin"
+	"github.com/coltsfootspur/coltsfootspur/internal/api"
+	"github.com/coltsfootspur/coltsfootspur/internal/intake"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/logging"
 )
@@ -54,6 +56,9 @@
 	storeDown    atomic.Bool
 	expulsion    chan struct{}
 	admin        *admin.Server
+	budget       *intake.Budget
+	// callers, links and operators bound what clients of the listeners can hold.
+	callers, links, operators *intake.Port
 
 	// background is cancelled when Run ends. diallers counts the goroutines that dial other entries.
 	background context.Context
@@ -94,7 +99,11 @@
 		e.options.AdvertiseAddress = e.linkListener.Addr().String()
 	}
 	e.options.Log = e.log
+	e.newPorts()
 	e.control = newControl(e)
+	e.control.metrics.vars.Set("intake", e.budget.VarsWithPorts(map[string]*intake.Port{
+		"callers": e.callers, "links": e.links, "operators": e.operators,
+	}))
 	if e.admin, err = e.newAdmin(); err != nil {
 		_ = e.callerListener.Close()
 		_ = e.linkListener.Close()
@@ -128,11 +137,25 @@
 	maxHeaderBytes    = 32 << 10
 )
 
-func (e *Entry) httpServer(handler http.Handler) *http.Server {
-	return &http.Server{
+// newPorts creates the budget of the process and its ports.
+func (e *Entry) newPorts() {
+	e.budget = intake.NewBudget(intake.NewShares(e.options.Resources))
+	limits := func() intake.Limits {
+		return intake.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: api.MaxRequest, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	}
+	hasTLS := e.options.ServerCertificate != nil
+	e.callers = e.budget.CallerPort(intake.PortOptions{Name: "callers", Limits: limits, Encrypted: hasTLS, Log: e.log})
+	e.links = e.budget.LinkPort(intake.PortOptions{Name: "links", Limits: limits, Encrypted: e.options.LinkIdentity != nil, Log: e.log})
+	e.operators = e.budget.SidePort(intake.PortOptions{Name: "operators", Limits: limits, Encrypted: hasTLS, Log: e.log})
+}
+
+func (e *Entry) httpServer(port *intake.Port, handler http.Handler) *http.Server {
+	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: logging.NewStandardLogger(e.log, "entry"),
 	}
+	port.Install(server)
+	return server
 }
 
 // Run serves until the context ends and then shuts down gracefully: it finishes the jobs in progress, hands its submissions
@@ -140,10 +163,10 @@
 // listener.
 func (e *Entry) Run(ctx context.Context) error {
 	serveErrors := make(chan error, 2)
-	callerServer := e.httpServer(e.newCallerServer())
-	linkServer := e.httpServer(http.HandlerFunc(e.serveLink))
-	go serve(callerServer, e.callerListener, e.options.ServerCertificate.ServerConfig(), serveErrors)
-	go serve(linkServer, e.linkListener, e.options.LinkIdentity.ServerConfig(), serveErrors)
+	callerServer := e.httpServer(e.callers, e.newCallerServer())
+	linkServer := e.httpServer(e.links, http.HandlerFunc(e.serveLink))
+	go serve(callerServer, e.callers.Listen(e.callerListener), e.options.ServerCertificate.ServerConfig(), serveErrors)
+	go serve(linkServer, e.links.Listen(e.linkListener), e.options.LinkIdentity.ServerConfig(), serveErrors)
 	go e.controlLoop(e.background)
 	supervisorDone := e.supervise(e.background)
 	e.ready.Store(true)
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
+	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -10,10 +10,14 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/api"
+	"github.com/coltsfootspur/coltsfootspur/internal/intake"
 	"github.com/coltsfootspur/coltsfootspur/internal/placement"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
+// noRoomRetryMillis is the Retry-After of a request for which there was no memory: what holds it ends within seconds.
+const noRoomRetryMillis = 1000
+
 // newCallerServer returns the HTTP interface for callers.
 func (e *Entry) newCallerServer() *echo.Echo {
 	server := echo.New()
@@ -41,7 +45,12 @@
 
 // postJob handles POST /v1/services/{service}/jobs.
 func (e *Entry) postJob(c echo.Context) error {
-	request, err := api.DecodeJob(c.Request().Body)
+	body, err := e.readBody(c, api.MaxRequest)
+	if err != nil {
+		return writeRequestError(c, err)
+	}
+	defer body.Release() // the job keeps its bodies until it is answered
+	request, err := api.DecodeJob(bytes.NewReader(body.Bytes))
 	if err != nil {
 		return writeRequestError(c, err)
 	}
@@ -57,10 +66,15 @@
 // postRequest handles POST /v1/services/{service}/requests/{kind}, which submits a job of one task. The upstream's answer
 // is returned unchanged.
 func (e *Entry) postRequest(c echo.Context) error {
-	task, err := readSingleTask(c.Request())
+	body, err := e.readBody(c, wire.MaxTaskBody)
 	if err != nil {
 		return writeRequestError(c, err)
 	}
+	defer body.Release() // the job keeps it until it is answered
+	task := &api.TaskRequest{Headers: api.ForwardedHeaders(c.Request().Header), Body: body.Bytes}
+	if err := api.CheckTask(task); err != nil {
+		return writeRequestError(c, err)
+	}
 	budget, err := api.ParseDeadline(c.Request().Header.Get(api.HeaderDeadline))
 	if err != nil {
 		return writeRequestError(c, err)
@@ -91,14 +105,16 @@
 	return placement.Digest(&job)
 }
 
-// readSingleTask reads a task from the body and the header of a request.
-func readSingleTask(r *http.Request) (*api.TaskRequest, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, wire.MaxTaskBody))
-	if err != nil {
-		return nil, api.BodyReadError(err, wire.MaxTaskBody)
+// readBody reads the body of a request. The error is a *api.RequestError or intake.ErrNoRoom.
+func (e *Entry) readBody(c echo.Context, limit int) (*intake.Body, error) {
+	body, err := e.callers.ReadBodyUpTo(c.Response(), c.Request(), limit)
+	switch {
+	case errors.Is(err, intake.ErrBodyTooLarge):
+		return nil, api.BodyReadError(&http.MaxBytesError{Limit: int64(limit)}, limit)
+	case err != nil && !errors.Is(err, intake.ErrNoRoom):
+		return nil, api.BodyReadError(err, limit)
 	}
-	task := &api.TaskRequest{Headers: api.ForwardedHeaders(r.Header), Body: body}
-	return task, api.CheckTask(task)
+	return body, err
 }
 
 // submitFromCaller completes the job from the request and waits for its answer. When the caller closes the connection, a
@@ -186,6 +202,11 @@
 	if errors.As(err, &requestError) {
 		return writeJSON(c, requestError.Status, requestError.Answer(), 0)
 	}
+	if errors.Is(err, intake.ErrNoRoom) {
+		return writeAnswer(c, &wire.Answer{
+			Outcome: wire.OutcomeNotRun, Reason: wire.ReasonOverloaded, Message: "no room for the request", RetryAfterMillis: noRoomRetryMillis,
+		})
+	}
 	return writeRefusal(c, wire.ReasonInvalidRequest, "the request cannot be read")
 }
 
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/identity"
+	"github.com/coltsfootspur/coltsfootspur/internal/intake"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
 	"github.com/coltsfootspur/coltsfootspur/internal/store"
 	table "github.com/coltsfootspur/coltsfootspur/internal/submission"
@@ -57,6 +58,8 @@
 	// ExpulsionDelay is the time for which both the lease of another entry and the link to it must be gone before that entry
 	// is removed. Default 10 s.
 	ExpulsionDelay time.Duration
+	// Resources are the limits of the process, from which the limits for clients are derived.
+	Resources intake.Resources
 	// ReadinessDelay is the time between the change of the readiness to false and the close of the listener, in which the
 	// load balancer stops sending requests. Default 1 s; negative for none.
 	ReadinessDelay time.Duration
--- a/internal/entry/supervise.go
+++ b/internal/entry/supervise.go
@@ -44,7 +44,7 @@
 	server, err := admin.New(admin.Options{
 		Address: e.options.AdminAddress, Token: e.options.OperatorToken, Role: "entry", Vars: e.control.metrics.vars,
 		Ready: e.checkReady, Dump: e.Dump, Refresh: e.refreshMetrics, Log: e.log,
-		TLS: e.options.ServerCertificate.ServerConfig(),
+		TLS: e.options.ServerCertificate.ServerConfig(), Port: e.operators,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -57,7 +57,7 @@
 
 // trimHeader drops the fields of a large header section that no handler uses, and returns its memory.
 func (p *Port) trimHeader(c *Conn, r *http.Request) {
-	if c.holds() == 0 {
+	if p.options.KeepHeaders == nil || c.holds(p.budget.headers) == 0 {
 		return
 	}
 	kept := make(http.Header, len(p.options.KeepHeaders))
@@ -67,7 +67,7 @@
 		}
 	}
 	r.Header = kept
-	c.release(int64(max(len(r.RequestURI)+len(r.Host)-allowanceHeaderBytes, 0)) * headerByteCost)
+	c.release(p.budget.headers, int64(max(len(r.RequestURI)+len(r.Host)-allowanceHeaderBytes, 0))*headerByteCost)
 }
 
 // Body is the body of a request. Release has to be called when it and what was decoded from it are no longer in use.
@@ -79,8 +79,13 @@
 // ReadBody reads the body of a request to its end. It returns ErrBodyTooLarge, ErrBodyTooSlow, ErrNoRoom or ErrBodyIncomplete; the
 // connection is then closed after the answer.
 func (p *Port) ReadBody(w http.ResponseWriter, r *http.Request) (*Body, error) {
+	return p.ReadBodyUpTo(w, r, p.limits().BodyBytes)
+}
+
+// ReadBodyUpTo is ReadBody with another limit than that of the port.
+func (p *Port) ReadBodyUpTo(w http.ResponseWriter, r *http.Request, limit int) (*Body, error) {
 	b := &Body{conn: connOf(r)}
-	err := b.read(p, r)
+	err := b.read(p, r, int64(limit))
 	r.Trailer = nil // can hold very many lines
 	if b.conn == nil {
 		return b, err
@@ -105,8 +110,7 @@
 	c.linger.Store(true)
 }
 
-func (b *Body) read(p *Port, r *http.Request) error {
-	limit := int64(p.limits().BodyBytes)
+func (b *Body) read(p *Port, r *http.Request, limit int64) error {
 	if r.ContentLength > limit {
 		p.refusals.add(bodyTooLarge)
 		return eris.Wrapf(ErrBodyTooLarge, "%d bytes, the limit is %d", r.ContentLength, limit)
@@ -162,7 +166,7 @@
 		return nil
 	}
 	p := b.conn.port
-	if !b.conn.hold(p.budget.bodies, b.conn.holds()+int64(values)*valueCost) {
+	if !b.conn.hold(p.budget.bodies, b.conn.holds(p.budget.bodies)+int64(values)*valueCost) {
 		p.refusals.add(decodedNoRoom)
 		return eris.Wrap(ErrNoRoom, "to decode the body")
 	}
@@ -173,7 +177,7 @@
 func (b *Body) Release() {
 	b.Bytes = nil
 	if b.conn != nil {
-		b.conn.release(0)
+		b.conn.release(b.conn.port.budget.bodies, 0)
 	}
 }
 
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -59,9 +59,8 @@
 	progress  atomic.Int64 // Unix nanoseconds at which bytes last arrived
 	bodyBytes atomic.Int64 // bytes of the body that have arrived
 
-	heldMu   sync.Mutex
-	held     int64 // memory taken from heldFrom
-	heldFrom *pool
+	heldMu sync.Mutex
+	held   [poolKinds]int64 // memory taken from the pools
 
 	deadlineMu  sync.Mutex
 	interrupted bool
@@ -150,43 +149,40 @@
 	}
 }
 
-// hold takes memory of a pool until the connection holds an amount of it. A connection holds memory of one pool at a time. It
-// reports whether there was room.
+// hold takes memory of a pool until the connection holds an amount of it. It reports whether there was room.
 func (c *Conn) hold(from *pool, amount int64) bool {
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
-	if c.heldFrom != from {
-		c.releaseLocked(0)
-		c.heldFrom = from
-	}
-	if more := amount - c.held; more > 0 {
+	if more := amount - c.held[from.kind]; more > 0 {
 		if !from.take(c.address, more) {
 			return false
 		}
-		c.held = amount
+		c.held[from.kind] = amount
 	}
 	return true
 }
 
-// holds returns the memory that the connection holds.
-func (c *Conn) holds() int64 {
+// holds returns the memory of a pool that the connection holds.
+func (c *Conn) holds(of *pool) int64 {
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
-	return c.held
+	return c.held[of.kind]
 }
 
-// release returns the memory that the connection holds beyond an amount.
-func (c *Conn) release(rest int64) {
+// release returns the memory of a pool that the connection holds beyond an amount.
+func (c *Conn) release(to *pool, rest int64) {
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
-	c.releaseLocked(rest)
+	if excess := c.held[to.kind] - rest; excess > 0 {
+		c.held[to.kind] = rest
+		to.put(c.address, excess)
+	}
 }
 
-func (c *Conn) releaseLocked(rest int64) {
-	if excess := c.held - rest; excess > 0 {
-		c.held = rest
-		c.heldFrom.put(c.address, excess)
-	}
+// releaseAll returns all memory that the connection holds.
+func (c *Conn) releaseAll() {
+	c.release(c.port.budget.headers, 0)
+	c.release(c.port.budget.bodies, 0)
 }
 
 // beginSection begins a header section. Its first bytes may be in the read buffer of the server already, if the client sent them
@@ -244,7 +240,7 @@
 
 // Close implements net.Conn. After a refusal the connection is closed a moment later, so that the answer arrives.
 func (c *Conn) Close() error {
-	c.release(0)
+	c.releaseAll()
 	if c.linger.Swap(false) {
 		err := c.CloseWrite()
 		time.AfterFunc(lingerTime, func() {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -68,15 +68,12 @@
 
 // Resources are the limits of a process.
 type Resources struct {
-	// MemoryBytes is the largest resident memory; 0 means DefaultMemoryBytes.
+	// MemoryBytes is the largest resident memory; 0 means half of the memory of the host.
 	MemoryBytes int64
 	// Descriptors is the largest number of open file descriptors; 0 means the limit that the operating system sets.
 	Descriptors int
 }
 
-// DefaultMemoryBytes is the memory of a process whose settings name none.
-const DefaultMemoryBytes = 512 << 20
-
 // Shares is the division of the resources of a process.
 type Shares struct {
 	// MaxPending and MaxOpen bound the connections of callers that are pending, and all of them.
@@ -92,7 +89,7 @@
 // NewShares divides the resources of a process.
 func NewShares(r Resources) Shares {
 	if r.MemoryBytes <= 0 {
-		r.MemoryBytes = DefaultMemoryBytes
+		r.MemoryBytes = systemMemory() / 2
 	}
 	descriptors := systemDescriptors()
 	if r.Descriptors > 0 {
@@ -110,6 +107,15 @@
 	}
 }
 
+// systemMemory returns the memory of the host, or a small one if it cannot be read.
+func systemMemory() int64 {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return 1 << 30
+	}
+	return int64(info.Totalram) * int64(info.Unit)
+}
+
 // systemDescriptors returns the limit of the operating system, or a small one if it cannot be read.
 func systemDescriptors() int {
 	var limit unix.Rlimit
--- a/internal/intake/pool.go
+++ b/internal/intake/pool.go
@@ -5,8 +5,16 @@
 	"sync"
 )
 
-// pool is an amount of memory that connections share. No address can take more than maxAddressShare of it.
+// Kinds of pools.
+const (
+	headerPool = iota
+	bodyPool
+	poolKinds
+)
+
+// pool is an amount of memory that connections share. No address can take more than a share of it.
 type pool struct {
+	kind  int
 	limit int64
 
 	mu        sync.Mutex
@@ -17,7 +25,9 @@
 // addressNumerator and addressDenominator are the share of a pool that one address can hold.
 const addressNumerator, addressDenominator = 3, 4
 
-func newPool(limit int64) *pool { return &pool{limit: limit, byAddress: make(map[netip.Addr]int64)} }
+func newPool(kind int, limit int64) *pool {
+	return &pool{kind: kind, limit: limit, byAddress: make(map[netip.Addr]int64)}
+}
 
 // take takes an amount for an address and reports whether there was room for it.
 func (p *pool) take(address netip.Addr, amount int64) bool {
--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -40,14 +40,14 @@
 
 // NewBudget returns the budget of a process with the given shares.
 func NewBudget(s Shares) *Budget {
-	return &Budget{shares: s, headers: newPool(s.HeaderBytes), bodies: newPool(s.BodyBytes)}
+	return &Budget{shares: s, headers: newPool(headerPool, s.HeaderBytes), bodies: newPool(bodyPool, s.BodyBytes)}
 }
 
 // Shares returns the shares of the process.
 func (b *Budget) Shares() Shares { return b.shares }
 
-// Vars returns the size and the use of the shares, for metrics.
-func (b *Budget) Vars() *expvar.Map {
+// VarsWithPorts returns the size and the use of the shares and of the ports by name, for metrics.
+func (b *Budget) VarsWithPorts(ports map[string]*Port) *expvar.Map {
 	vars := new(expvar.Map).Init()
 	for name, read := range map[string]func() int64{
 		"header_bytes": b.headers.inUse, "header_bytes_limit": func() int64 { return b.headers.limit },
@@ -56,6 +56,9 @@
 	} {
 		vars.Set(name, expvar.Func(func() any { return read() }))
 	}
+	for name, port := range ports {
+		vars.Set(name, port.vars())
+	}
 	return vars
 }
 
@@ -68,6 +71,7 @@
 	// Limits returns the limits of a request. It must be fast. nil means the defaults.
 	Limits func() Limits
 	// KeepHeaders are the names of the fields that handlers use. Of a header section beyond the allowance, the others are dropped.
+	// nil keeps all, and their memory until the end of the request.
 	KeepHeaders []string
 	// Encrypted is true if the server decrypts what it reads from the connections of the port. Header sections are then bounded by
 	// the server, and the port bounds the connections and their time.
@@ -123,8 +127,8 @@
 	return p.options.Limits().withDefaults()
 }
 
-// Vars returns the numbers of connections and refusals, for metrics.
-func (p *Port) Vars() *expvar.Map {
+// vars returns the numbers of connections and refusals.
+func (p *Port) vars() *expvar.Map {
 	vars := new(expvar.Map).Init()
 	vars.Set("connections", expvar.Func(func() any { return p.count() }))
 	vars.Set("max_pending", expvar.Func(func() any { return p.options.MaxPending }))
@@ -143,8 +147,11 @@
 }
 
 // Listen returns a listener whose connections are bounded by the port. While the port is full and no connection can be evicted,
-// connections wait in the operating system.
+// connections wait in the operating system. It can be called again after the listener was closed.
 func (p *Port) Listen(inner net.Listener) net.Listener {
+	p.mu.Lock()
+	p.closed = false
+	p.mu.Unlock()
 	go p.sweepLoop()
 	return &listener{Listener: inner, port: p}
 }
@@ -229,16 +236,16 @@
 	return nil
 }
 
-// evictStalled evicts a connection in a phase that holds memory of a pool and has made no progress for stallTime. It reports
+// evictStalled evicts a connection in a phase that holds memory of the pool and has made no progress for stallTime. It reports
 // whether there was one.
-func (p *Port) evictStalled(in phase, kind refusal) bool {
+func (p *Port) evictStalled(of *pool, in phase, kind refusal) bool {
 	p.mu.Lock()
 	now := time.Now()
 	var victim *Conn
 	seen := 0
 	for e := p.pending[in].Front(); e != nil && seen < evictionCandidates; e = e.Next() {
 		c := e.Value.(*Conn)
-		if c.holds() > 0 && now.UnixNano()-c.progress.Load() > int64(stallTime) {
+		if c.holds(of) > 0 && now.UnixNano()-c.progress.Load() > int64(stallTime) {
 			if victim == nil || c.progress.Load() < victim.progress.Load() {
 				victim = c
 			}
@@ -255,7 +262,7 @@
 	if c.hold(from, amount) {
 		return true
 	}
-	if !p.evictStalled(in, kind) {
+	if !p.evictStalled(from, in, kind) {
 		return false
 	}
 	time.Sleep(roomWait)
@@ -346,11 +353,11 @@
 	case http.StateActive:
 		p.move(c, phaseBody)
 	case http.StateIdle:
-		c.release(0)
+		c.releaseAll()
 		p.move(c, phaseIdle)
 		c.beginSection()
 	case http.StateHijacked:
-		c.release(0)
+		c.releaseAll()
 		p.remove(c)
 	default:
 	}
