--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -25,11 +25,22 @@
 	// MaxWatchWait is the longest time that the store holds one watch request open. A dead connection is detected after this
 	// time.
 	MaxWatchWait time.Duration
-	// OnChange is called with all keys below the prefix, after the first read and after each change. It must not keep the map.
-	OnChange func(items map[string]Item)
+	// OnChange is called after the first read and after each change. It must not keep the map of the view.
+	OnChange func(v View)
 	Log      log.Interface
 }
 
+// View holds all keys below a prefix.
+type View struct {
+	Items map[string]Item
+	// Revision is the revision of the store at which the keys had these values: that of the first page if all keys were read,
+	// or that of the last of the changes that were applied.
+	Revision uint64
+	// Changed holds the keys that were written or deleted since the previous view, also those that are as they were before. It is
+	// nil if all keys were read, so that the changes since the previous view are not known.
+	Changed []string
+}
+
 // Follow passes the keys below a prefix to OnChange until ctx ends. It reads all keys once and then watches for changes.
 // When the store has compacted the history that the watch needs, or the changes are too large for one answer, it reads all keys
 // again, in pages.
@@ -72,12 +83,14 @@
 		return err
 	}
 	f.revision = max(f.revision, revision)
-	changed := false
+	view := View{Items: f.items}
 	for _, e := range events {
-		changed = f.applyEvent(e) || changed
+		if f.applyEvent(e) {
+			view.Revision, view.Changed = max(view.Revision, e.Revision), append(view.Changed, e.Key)
+		}
 	}
-	if changed {
-		f.OnChange(f.items)
+	if len(view.Changed) > 0 {
+		f.OnChange(view)
 	}
 	return nil
 }
@@ -119,7 +132,7 @@
 		}
 	}
 	f.items, f.revision = items, revision
-	f.OnChange(items)
+	f.OnChange(View{Items: items, Revision: revision})
 	return nil
 }
 
