--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -39,10 +39,20 @@
 	Version  uint64
 	Queues   []Queue
 	Services []Service
+	Limits   Limits
 
 	index *queueIndex
 }
 
+// Limits are the limits of one request of a caller. A field of 0 means the default of the entry.
+type Limits struct {
+	// HeaderBytes is the largest size of a header section with its request line, BodyBytes that of a body.
+	HeaderBytes, BodyBytes int
+	// HeaderTimeout is the longest time for a header section to arrive, IdleTimeout how long a connection stays open between two
+	// requests.
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
 // BuildIndex builds the index that MatchQueue uses. It must be called after the last change of Queues and before the catalog
 // is published. Building takes time in proportion to the size of the catalog.
 func (c *Catalog) BuildIndex() { c.index = newQueueIndex(c.Queues) }
--- a/internal/jobentry/connections.go
+++ b/internal/jobentry/connections.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/intake"
 )
 
 // ErrStopping means that the rest of a request was not read because the entry stops. Nothing of the request has run.
@@ -97,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, accepted: time.Now()}, nil
+	return &callerConn{Conn: conn}, nil
 }
 
 // callerConn is a connection of a caller. It records whether the entry has read any part of a request that is not answered yet.
@@ -105,7 +107,6 @@
 // that a caller that is just sending a request learns that the request was not read. An end of file would leave that open.
 type callerConn struct {
 	net.Conn
-	accepted time.Time
 
 	mu      sync.Mutex
 	state   http.ConnState
@@ -154,14 +155,14 @@
 	defer c.mu.Unlock()
 	if n > 0 && !c.pending {
 		c.pending = true
-		if c.refuseRequests || c.state == http.StateNew { // the deadline has passed, or is that of an idle connection
+		if c.refuseRequests { // the deadline has passed
 			_ = c.Conn.SetReadDeadline(time.Now().Add(callerHeaderTimeout)) // fails only on a closed connection
 		}
 	}
 	if err != nil && c.refuseRequests && !c.pending {
 		return n, stoppingError()
 	}
-	c.ended = c.ended || err != nil && !isTimeout(err) // the HTTP server ends reads with a deadline
+	c.ended = c.ended || err != nil && !isTimeout(err) && !errors.Is(err, intake.ErrEnded) // the HTTP server ends reads with a deadline
 	return n, err
 }
 
@@ -173,16 +174,8 @@
 // stoppingError is an error of a read, so that the HTTP server closes the connection and logs nothing.
 func stoppingError() error { return &net.OpError{Op: "read", Net: "tcp", Err: ErrStopping} }
 
-// SetReadDeadline implements net.Conn. The HTTP server sets the deadline of the header when it has accepted a connection; the idle
-// timeout applies instead until the first byte has arrived.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state == http.StateNew && !c.pending && !t.IsZero() {
-		t = c.accepted.Add(callerIdleTimeout)
-	}
-	return c.Conn.SetReadDeadline(t)
-}
+// NetConn returns the connection below, which carries the accounting of intake.Port.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
--- a/internal/jobentry/serve.go
+++ b/internal/jobentry/serve.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/intake"
 	"github.com/coltsfootspur/coltsfootspur/internal/logging"
 )
 
@@ -36,9 +37,8 @@
 	// that have waited for longer are reset, so that their callers retry or use another entry, because short jobs would be
 	// late.
 	maxConnectionHold = 400 * time.Millisecond
-	// callerIdleTimeout is how long a connection without a request stays open, also one that has not carried any yet.
-	callerIdleTimeout = 60 * time.Second
-	// callerHeaderTimeout is the longest time from the first byte of a request until its header is complete.
+	// callerHeaderTimeout is the longest time from the first byte of a request until its header is complete, during a planned stop.
+	// Before it, the limits of intake.Port apply.
 	callerHeaderTimeout = 5 * time.Second
 )
 
@@ -49,6 +49,8 @@
 	// Grace is the time from the stop signal until the process is killed.
 	Grace time.Duration
 	Log   log.Interface
+	// Port bounds what callers can hold. Its time limits apply to connections without a request.
+	Port *intake.Port
 
 	stopping    atomic.Bool
 	connections *connections
@@ -65,10 +67,17 @@
 	if err != nil {
 		return err
 	}
+	listener = s.Port.Listen(listener)
 	s.connections = newConnections()
 	server := &http.Server{
-		Handler: s.announceClose(), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		ErrorLog: logging.NewStandardLogger(s.Log, "entry"), ConnContext: withConn, ConnState: s.connections.setState,
+		Handler: s.announceClose(), ErrorLog: logging.NewStandardLogger(s.Log, "entry"),
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return s.Port.ConnContext(withConn(ctx, conn), conn)
+		},
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			s.connections.setState(conn, state)
+			s.Port.ConnState(conn, state)
+		},
 	}
 	failed := make(chan error, 1)
 	pausable := newPausableListener(listener, s.Entry.overload.acceptPaused.Load)
@@ -118,11 +127,14 @@
 }
 
 func (s *CallerServer) announceClose() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	handler := s.Port.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 			r.Body = &callerBody{body: r.Body, conn: conn}
 		}
-		s.Handler.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: &s.stopping}, r)
+		s.Handler.ServeHTTP(w, r)
+	}))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: &s.stopping}, r)
 	})
 }
 
--- a/internal/jobentry/serve_test.go
+++ b/internal/jobentry/serve_test.go
@@ -16,8 +16,13 @@
 	"github.com/onsi/gomega"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
+	"github.com/coltsfootspur/coltsfootspur/internal/intake"
 )
 
+func newTestPort(logger log.Interface) *intake.Port {
+	return intake.NewBudget(intake.NewShares(intake.Resources{})).CallerPort(intake.PortOptions{Name: "callers", Log: logger})
+}
+
 // startCallerServer serves a handler on a free port. stop begins the planned stop; stopped is closed when it is done.
 func startCallerServer(t *testing.T, grace time.Duration, handler http.HandlerFunc) (address string, stop func(), stopped <-chan struct{}) {
 	g := gomega.NewWithT(t)
@@ -33,7 +38,7 @@
 	g.Expect(reserved.Close()).To(gomega.Succeed())
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	server := &CallerServer{Entry: e, Handler: handler, Grace: grace, Log: logger}
+	server := &CallerServer{Entry: e, Handler: handler, Grace: grace, Log: logger, Port: newTestPort(logger)}
 	go func() {
 		defer close(done)
 		_ = server.Serve(ctx, address)
@@ -129,7 +134,7 @@
 	g.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
 }
 
-// Guards against a header that is never completed and keeps its connection open.
+// Guards against a header that is never completed and keeps its connection open. Its client is told so before the close.
 func TestHeaderThatIsNotCompletedEndsTheConnection(t *testing.T) {
 	t.Parallel()
 	g := gomega.NewWithT(t)
@@ -140,7 +145,12 @@
 	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\n")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(conn.SetReadDeadline(time.Now().Add(callerHeaderTimeout + time.Second))).To(gomega.Succeed())
-	_, err = conn.Read(make([]byte, 1))
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_ = response.Body.Close()
+	g.Expect(response.StatusCode).To(gomega.Equal(http.StatusRequestTimeout))
+	_, err = reader.ReadByte()
 	g.Expect(err).To(gomega.MatchError(io.EOF))
 }
 
