--- /dev/null
+++ b/internal/runs/placement.go
@@ -0,0 +1,18 @@
+package runs
+
+// Placement is a rule by which entries offer waiting tasks and agents start them.
+type Placement uint8
+
+// Values of Placement.
+const (
+	// PlaceByUrgency takes waiting tasks by tier, priority and latest start. A task that fits nowhere is skipped.
+	PlaceByUrgency Placement = iota
+	// PlaceBySize is PlaceByUrgency, but takes the larger of two waiting tasks of one tier and priority first. Only replays use
+	// it.
+	PlaceBySize
+	// PlaceAhead also reserves capacity that becomes free soon for a task that fits nowhere now.
+	PlaceAhead
+)
+
+// DefaultPlacement is the rule of all processes.
+const DefaultPlacement = PlaceByUrgency
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -11,8 +11,10 @@
 // Owner identifies one incarnation of an entry process.
 type Owner uint64
 
-// Config holds the timing parameters of a Table.
+// Config holds the parameters of a Table.
 type Config struct {
+	// Placement is the rule by which waiting tasks start. It is the same at entries and agents.
+	Placement Placement
 	// StartGracePeriod is the age from which a start without an answer counts as unconfirmed when a snapshot does not list
 	// the run. The run then gets a stop, which determines whether it starts.
 	StartGracePeriod time.Duration
@@ -31,6 +33,7 @@
 // DefaultConfig returns the parameters for tasks that take less than a second.
 func DefaultConfig() Config {
 	return Config{
+		Placement:         DefaultPlacement,
 		StartGracePeriod:  25 * time.Millisecond,  // ten times the usual response time of a worker on the same host
 		MaxBackfillAge:    50 * time.Millisecond,  // the run time of the shortest tasks, within which capacity becomes free for large ones
 		StopRetryInterval: 60 * time.Millisecond,  // just above the time that a worker takes to stop a run
--- /dev/null
+++ b/internal/scheduler/replay/replay_test.go
@@ -0,0 +1,69 @@
+package replay
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/runs"
+)
+
+var placements = []struct {
+	name      string
+	placement runs.Placement
+}{{"today", runs.PlaceByUrgency}, {"by size", runs.PlaceBySize}, {"reservations", runs.PlaceAhead}}
+
+// mean averages the figures of several seeds.
+func mean(all []Figures) Figures {
+	m := all[0]
+	m.Groups = append([]Group{m.All}, m.Groups...)
+	for _, f := range all[1:] {
+		m.Worth, m.Wasted, m.Overcommitted = m.Worth+f.Worth, m.Wasted+f.Wasted, m.Overcommitted+f.Overcommitted
+		for i, g := range append([]Group{f.All}, f.Groups...) {
+			to := &m.Groups[i]
+			to.Jobs, to.InObjective, to.Worth = to.Jobs+g.Jobs, to.InObjective+g.InObjective, to.Worth+g.Worth
+			to.WaitP50, to.WaitP95 = to.WaitP50+g.WaitP50, to.WaitP95+g.WaitP95
+		}
+	}
+	n := len(all)
+	m.Worth, m.Wasted = m.Worth/float64(n), m.Wasted/float64(n)
+	for i := range m.Groups {
+		g := &m.Groups[i]
+		g.InObjective, g.Worth = g.InObjective/float64(n), g.Worth/float64(n)
+		g.WaitP50, g.WaitP95 = g.WaitP50/time.Duration(n), g.WaitP95/time.Duration(n)
+	}
+	return m
+}
+
+func runSeeds(load Load, placement runs.Placement, seeds int) Figures {
+	var all []Figures
+	for seed := range seeds {
+		all = append(all, Run(load, placement, uint64(seed)+1))
+	}
+	return mean(all)
+}
+
+// Prints the table of docs/design/lookahead.md. REPLAY_SEEDS is the number of seeds of each row.
+func TestCompare(t *testing.T) {
+	seeds, err := strconv.Atoi(os.Getenv("REPLAY_SEEDS"))
+	if err != nil {
+		t.Skip("prints figures for the design note; set REPLAY_SEEDS to run it")
+	}
+	loads := []Load{
+		PeakA(0.8), PeakA(1.1), PeakA(1.5), PeakB(1.1), PeakB(1.5), LargeAmongSmall(0.9), LargeAmongSmall(1.1), LargeAmongSmall(1.5),
+		WrongEstimates(1.3), FailingWorkers(1.3),
+	}
+	for _, load := range loads {
+		fmt.Printf("\n%s, demand %.1f\n", load.Name, load.Demand)
+		for _, p := range placements {
+			f := runSeeds(load, p.placement, seeds)
+			fmt.Printf("%-13s worth %.3f wasted %.3f over %d\n", p.name, f.Worth, f.Wasted, f.Overcommitted)
+			for _, g := range f.Groups {
+				fmt.Printf("    %-22s jobs %5d in objective %.3f worth %.3f wait p50 %4d p95 %4d ms\n",
+					g.Name, g.Jobs, g.InObjective, g.Worth, g.WaitP50.Milliseconds(), g.WaitP95.Milliseconds())
+			}
+		}
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
 	"github.com/coltsfootspur/coltsfootspur/internal/job"
+	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -38,6 +39,8 @@
 	Random *rand.Rand
 	// NoAgentTimeout is how long a job waits at an entry that is linked to no available agent of the service.
 	NoAgentTimeout time.Duration
+	// Placement is the rule by which waiting tasks are placed. It is the same at entries and agents.
+	Placement runs.Placement
 }
 
 // DefaultConfig returns the parameters for tasks that take less than a second.
@@ -51,6 +54,7 @@
 		Random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		// Agents link to a new entry within 100 ms, and an entry that is cut off loses them within 400 ms.
 		NoAgentTimeout: 250 * time.Millisecond,
+		Placement:      runs.DefaultPlacement,
 	}
 }
 
