--- a/internal/runs/placement.go
+++ b/internal/runs/placement.go
@@ -14,5 +14,5 @@
 	PlaceAhead
 )
 
-// DefaultPlacement is the rule of all processes.
-const DefaultPlacement = PlaceByUrgency
+// DefaultPlacement is the rule of all processes. docs/design/lookahead.md has the figures of each.
+const DefaultPlacement = PlaceAhead
--- a/internal/runs/results.go
+++ b/internal/runs/results.go
@@ -305,11 +305,13 @@
 	}
 	capacity := t.Announcement().Capacity
 	free := capacity.Sub(t.used).Sub(t.queue.needs)
-	return wire.WorkerLoad{
+	load := wire.WorkerLoad{
 		Open: reason == "", Closed: reason, Trial: t.health.onProbation,
 		FreeMilliCPU: free.MilliCPU, RemainingMillis: t.meanRemaining(now).Milliseconds(),
 		Waiting: t.queue.workByPriority(capacity.MilliCPU), SlownessPermille: int64(1000 * t.expectedSlowdown()),
 	}
+	t.addPlan(now, &load)
+	return load
 }
 
 // WorkerInfo returns what the worker announced, for a report to an entry.
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -81,6 +81,10 @@
 	// one arrived.
 	firstStopAt, stopSentAt, stopAnsweredAt time.Time
 	stopsSent                               int
+	// reservedUntil is when the reservation of a waiting task expires; zero if it has none. plannedIn is the time until its start
+	// in the last plan.
+	reservedUntil time.Time
+	plannedIn     time.Duration
 }
 
 // tierAt returns the urgency tier of a waiting task: 0 while it can still meet its objective, 1 while a late result is still
@@ -142,6 +146,7 @@
 	learned          learnedSlowdown
 	recent           recentSlowdown
 	health           health
+	lookahead        Lookahead
 
 	commands []Command
 	events   []RunEvent
@@ -319,8 +324,18 @@
 		t.endOffer(now, r, wire.RunNotStarted, reason)
 		return
 	}
+	if o.ReserveMillis > 0 && t.config.Placement == PlaceAhead {
+		if !t.admitReservation(now, r) {
+			t.endOffer(now, r, wire.RunNotStarted, "the worker holds other reservations")
+			return
+		}
+	}
 	t.queue.push(r)
 	t.startWaiting(now)
+	if t.config.Placement == PlaceAhead {
+		t.returnIfLate(now, r)
+		return
+	}
 	if limit := time.Duration(o.MaxWaitMillis) * time.Millisecond; r.state == waiting && limit > 0 && t.expectedWait(now, r) > limit {
 		t.queue.remove(r)
 		t.endOffer(now, r, wire.RunNotStarted, "the worker has no room soon")
@@ -412,9 +427,14 @@
 // startWaiting starts waiting tasks that fit, the most urgent first. A smaller task may start before one that does not fit,
 // unless that one has waited for longer than MaxBackfillAge.
 func (t *Table) startWaiting(now time.Time) {
+	t.expireReservations(now)
 	if t.closedReason(now) != "" || len(t.orphans) > 0 {
 		return
 	}
+	if t.config.Placement == PlaceAhead {
+		t.startPlanned(now)
+		return
+	}
 	t.queue.sort(now)
 	for _, r := range slices.Clone(t.queue.runs) {
 		switch {
--- a/internal/scheduler/agents.go
+++ b/internal/scheduler/agents.go
@@ -26,6 +26,10 @@
 	// unreportedMilliCPU and unreportedWork are the sums over the offers that the last load report does not include yet:
 	// thousandths of a core, and these times the estimated run time in milliseconds.
 	unreportedMilliCPU, unreportedWork int64
+	// unreportedReservations is the number of reservations among them.
+	unreportedReservations int
+	// loadAt is when the last load report arrived.
+	loadAt time.Time
 }
 
 // capacity returns the size of the worker.
@@ -42,11 +46,14 @@
 
 // recountUnreported sums the needs of the offers that the last load report does not include.
 func (a *agent) recountUnreported() {
-	a.unreportedMilliCPU, a.unreportedWork = 0, 0
+	a.unreportedMilliCPU, a.unreportedWork, a.unreportedReservations = 0, 0, 0
 	for number, t := range a.tasks {
 		if number > a.load.Seen {
 			a.unreportedMilliCPU += t.step.Needs.MilliCPU
 			a.unreportedWork += t.step.Needs.MilliCPU * t.step.Estimate.Milliseconds()
+			if t.reserved {
+				a.unreportedReservations++
+			}
 		}
 	}
 }
@@ -166,7 +173,7 @@
 	if a == nil || !a.linked || load.Fence < a.fence {
 		return false
 	}
-	a.load, a.hasLoad, a.heardAt, s.changedSincePass = load, true, now, true
+	a.load, a.hasLoad, a.heardAt, a.loadAt, s.changedSincePass = load, true, now, now, true
 	a.recountUnreported()
 	if load.Open {
 		a.fence = load.Fence // an agent takes work only after the worker has accepted its token
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -11,7 +11,10 @@
 )
 
 // waitingQueue holds the tasks that wait at the entry.
-type waitingQueue struct{ tasks []*task }
+type waitingQueue struct {
+	tasks        []*task
+	largestFirst bool // see runs.PlaceBySize
+}
 
 func (q *waitingQueue) Len() int { return len(q.tasks) }
 
@@ -29,8 +32,12 @@
 		t.job.tier = max(t.job.tier, t.tierAt(now, b)) // a job is as late as its most overdue task
 	}
 	slices.SortStableFunc(q.tasks, func(a, b *task) int {
+		bySize := 0
+		if q.largestFirst {
+			bySize = cmp.Compare(b.step.Needs.MilliCPU, a.step.Needs.MilliCPU)
+		}
 		return cmp.Or(
-			cmp.Compare(a.job.tier, b.job.tier), cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), a.latestStart.Compare(b.latestStart),
+			cmp.Compare(a.job.tier, b.job.tier), cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), bySize, a.latestStart.Compare(b.latestStart),
 		)
 	})
 }
@@ -108,6 +115,9 @@
 			continue
 		}
 		a := s.chooseAgent(now, t)
+		if a == nil && s.config.Placement == runs.PlaceAhead && s.reserve(now, t) {
+			continue
+		}
 		if a == nil {
 			kept = append(kept, t)
 			unplaceable = append(unplaceable, *t.step)
@@ -150,10 +160,7 @@
 		if !s.canRun(a, t) || skipAvoided && slices.Contains(t.avoidAgents, a.id) {
 			continue
 		}
-		runTime := time.Duration(float64(t.step.Estimate) * a.slowdown())
-		if !a.sameDataCentre {
-			runTime += s.config.RemoteDelay
-		}
+		runTime := s.runTime(a, t)
 		wait := a.expectedWait(now, t)
 		onTime := !now.Add(wait + runTime).After(dueAt)
 		canWait = canWait || !now.Add(runTime).After(dueAt)
@@ -175,6 +182,15 @@
 	return bestLate
 }
 
+// runTime returns the expected time from the start of a task on the worker until its end is known.
+func (s *Scheduler) runTime(a *agent, t *task) time.Duration {
+	runTime := time.Duration(float64(t.step.Estimate) * a.slowdown())
+	if !a.sameDataCentre {
+		runTime += s.config.RemoteDelay
+	}
+	return runTime
+}
+
 // staleAfter returns the age of the last message of an agent from which its link may be dead.
 func (s *Scheduler) staleAfter() time.Duration {
 	return runs.IdleHeartbeatInterval(len(s.agentList)) + runs.StaleAfter
@@ -247,6 +263,10 @@
 
 func (s *Scheduler) offerTask(now time.Time, t *task, a *agent) {
 	s.lastOffer++
+	reserveMillis := int64(0)
+	if t.reserved {
+		reserveMillis = reservationTimeout.Milliseconds()
+	}
 	t.state, t.agent, t.incarnation, t.offerNumber, t.started = taskOffered, a, a.incarnation, s.lastOffer, false
 	s.offers[t.offerNumber] = t
 	a.tasks[t.offerNumber] = t
@@ -263,6 +283,6 @@
 		Accelerators: t.step.Needs.Accelerators, EstimateMillis: t.step.Estimate.Milliseconds(),
 		Priority: j.Queue.Priority, SlackMillis: t.latestStart.Sub(now).Milliseconds(),
 		BudgetMillis: j.Deadline.Sub(now).Milliseconds(), LateWindowMillis: j.lateWindow().Milliseconds(),
-		MaxWaitMillis: s.config.MaxWaitOnArrival.Milliseconds(), Label: t.step.Label,
+		MaxWaitMillis: s.config.MaxWaitOnArrival.Milliseconds(), Label: t.step.Label, ReserveMillis: reserveMillis,
 	}})
 }
--- a/internal/scheduler/replay/agent.go
+++ b/internal/scheduler/replay/agent.go
@@ -52,6 +52,10 @@
 
 func (a *agent) tick() {
 	a.sim.after(tickInterval, a.tick)
+	if a.sim.elapsed >= a.sim.load.PeakFrom && a.sim.elapsed < a.sim.load.PeakUntil {
+		ticks := float64(a.sim.load.PeakUntil-a.sim.load.PeakFrom) / float64(tickInterval)
+		a.sim.result.Used += float64(a.worker.used) / workerMilliCPU / ticks / float64(len(a.sim.agents))
+	}
 	a.flush(true)
 }
 
--- a/internal/scheduler/replay/figures.go
+++ b/internal/scheduler/replay/figures.go
@@ -83,6 +83,8 @@
 	Worth float64
 	// Wasted is the share of the completed work that went into jobs without any value.
 	Wasted float64
+	// Used is the mean share of the capacity of all workers that runs hold during the peak.
+	Used float64
 	// Overcommitted counts starts beyond the capacity of a worker.
 	Overcommitted int
 	Counters      map[string]int64
--- a/internal/scheduler/replay/replay.go
+++ b/internal/scheduler/replay/replay.go
@@ -101,8 +101,8 @@
 	entries []*entry
 	agents  []*agent
 	jobs    []*jobRecord
-	byID   map[string]*jobRecord
-	result Figures
+	byID    map[string]*jobRecord
+	result  Figures
 }
 
 func (s *sim) now() time.Time { return s.start.Add(s.elapsed) }
--- a/internal/scheduler/replay/replay_test.go
+++ b/internal/scheduler/replay/replay_test.go
@@ -20,7 +20,8 @@
 	m := all[0]
 	m.Groups = append([]Group{m.All}, m.Groups...)
 	for _, f := range all[1:] {
-		m.Worth, m.Wasted, m.Overcommitted = m.Worth+f.Worth, m.Wasted+f.Wasted, m.Overcommitted+f.Overcommitted
+		m.Worth, m.Wasted, m.Used = m.Worth+f.Worth, m.Wasted+f.Wasted, m.Used+f.Used
+		m.Overcommitted += f.Overcommitted
 		for i, g := range append([]Group{f.All}, f.Groups...) {
 			to := &m.Groups[i]
 			to.Jobs, to.InObjective, to.Worth = to.Jobs+g.Jobs, to.InObjective+g.InObjective, to.Worth+g.Worth
@@ -28,7 +29,7 @@
 		}
 	}
 	n := len(all)
-	m.Worth, m.Wasted = m.Worth/float64(n), m.Wasted/float64(n)
+	m.Worth, m.Wasted, m.Used = m.Worth/float64(n), m.Wasted/float64(n), m.Used/float64(n)
 	for i := range m.Groups {
 		g := &m.Groups[i]
 		g.InObjective, g.Worth = g.InObjective/float64(n), g.Worth/float64(n)
@@ -59,7 +60,7 @@
 		fmt.Printf("\n%s, demand %.1f\n", load.Name, load.Demand)
 		for _, p := range placements {
 			f := runSeeds(load, p.placement, seeds)
-			fmt.Printf("%-13s worth %.3f wasted %.3f over %d\n", p.name, f.Worth, f.Wasted, f.Overcommitted)
+			fmt.Printf("%-13s worth %.3f wasted %.3f used %.3f over %d\n", p.name, f.Worth, f.Wasted, f.Used, f.Overcommitted)
 			for _, g := range f.Groups {
 				fmt.Printf("    %-22s jobs %5d in objective %.3f worth %.3f wait p50 %4d p95 %4d ms\n",
 					g.Name, g.Jobs, g.InObjective, g.Worth, g.WaitP50.Milliseconds(), g.WaitP95.Milliseconds())
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -134,6 +134,7 @@
 	agent          *agent
 	incarnation    uint64 // of the agent process that got the offer
 	started        bool
+	reserved       bool // the offer is a reservation
 	// mayHaveRun is true once a run of the task has started or may have started.
 	mayHaveRun bool
 	// runEndedAt is when a run at an agent without contact has certainly ended.
@@ -181,7 +182,8 @@
 // New returns a scheduler without jobs or agents.
 func New(config Config) *Scheduler {
 	return &Scheduler{
-		config: config, jobs: make(map[string]*Job), offers: make(map[uint64]*task), agents: make(map[AgentID]*agent), shortWaits: make(shortWaitShares),
+		waiting: waitingQueue{largestFirst: config.Placement == runs.PlaceBySize},
+		config:  config, jobs: make(map[string]*Job), offers: make(map[uint64]*task), agents: make(map[AgentID]*agent), shortWaits: make(shortWaitShares),
 	}
 }
 
@@ -372,7 +374,7 @@
 
 // enqueue puts a task into the queue of the entry.
 func (s *Scheduler) enqueue(t *task) {
-	t.state = taskWaiting
+	t.state, t.reserved = taskWaiting, false
 	s.waiting.push(t)
 	s.changedSincePass = true
 }
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -45,6 +45,9 @@
 	MaxWaitMillis int64 `cbor:"16,keyasint,omitempty"`
 	// Label is a label that the worker must have; empty means any worker.
 	Label string `cbor:"17,keyasint,omitempty"`
+	// ReserveMillis is the time for which the agent may hold capacity that becomes free soon for the task, and after which it
+	// returns a task that has not started. 0 means that the offer is no reservation.
+	ReserveMillis int64 `cbor:"18,keyasint,omitempty"`
 }
 
 // Offers carries new offers and withdrawals of earlier ones from an entry to an agent.
@@ -108,6 +111,18 @@
 	Trial bool `cbor:"8,keyasint,omitempty"`
 	// Fence is the fencing token of the agent's process. Each new process of an agent has a higher token.
 	Fence uint64 `cbor:"9,keyasint,omitempty"`
+	// Free is the capacity that is expected to be free from now on, beside the tasks that run or have a place in the plan of the
+	// agent. It is empty while much is free or if the agent does not plan.
+	Free []FreeStep `cbor:"10,keyasint,omitempty"`
+	// Reservations is the number of reservations that the agent holds for all entries.
+	Reservations int `cbor:"11,keyasint,omitempty"`
+}
+
+// FreeStep is the free CPU of a worker from a time on until the next step. It is encoded as an array.
+type FreeStep struct {
+	_        struct{} `cbor:",toarray"`
+	Millis   int64    // from the time of the report
+	MilliCPU int64    // can be negative, if a run exceeds its estimate
 }
 
 // RunReport carries the ends of offers and the load of the worker from an agent to an entry.
