--- a/internal/scheduler/lookahead.go
+++ b/internal/scheduler/lookahead.go
@@ -54,10 +54,11 @@
 // reserve offers a task that fits nowhere now as a reservation to the agent at which it is expected to end first, if it meets its
 // objective there. It returns whether the task was offered.
 //
-// Tasks of jobs that are late already are not reserved: in a peak they outnumber the others, and would hold the capacity that jobs
-// need which can still be on time.
+// A task is reserved only if its job can still be on time and has begun, or has no other task. Late jobs outnumber the others in a
+// peak, and would hold the capacity that those need. A job that has not begun would hold a part of the capacity it needs while
+// others hold the rest; with such reservations more work went into jobs that were never complete.
 func (s *Scheduler) reserve(now time.Time, t *task) bool {
-	if t.job.tier > 0 {
+	if t.job.tier > 0 || t.job.OffersMade == 0 && len(t.job.tasks) > 1 {
 		return false
 	}
 	staleAfter, dueAt := s.staleAfter(), t.latestStart.Add(t.step.Estimate)
--- a/internal/scheduler/replay/loads.go
+++ b/internal/scheduler/replay/loads.go
@@ -52,3 +52,9 @@
 	l.Name, l.SlowWorkers, l.DeadWorkers = "failing workers", 3, 2
 	return l
 }
+
+// short returns the load with a peak of 1.5 s.
+func (l Load) short() Load {
+	l.PeakFrom, l.PeakUntil, l.Until = 500*time.Millisecond, 2*time.Second, 2*time.Second
+	return l
+}
