--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -111,19 +111,25 @@
 	s.changedSincePass, s.lastPass = false, now
 	s.waiting.sort(now, &s.backlog)
 	kept := s.waiting.tasks[:0]
-	var unplaceable []job.Step // steps of tasks that fitted nowhere in this pass
+	// unplaceable are the steps of tasks that fitted nowhere in this pass, unreservable of those without room soon.
+	var unplaceable, unreservable []job.Step
 	for _, t := range s.waiting.tasks {
-		if knownUnplaceable(unplaceable, t) {
-			kept = append(kept, t)
-			continue
+		var a *agent
+		if !knownUnplaceable(unplaceable, t) {
+			a = s.chooseAgent(now, t)
+			if a == nil {
+				unplaceable = append(unplaceable, *t.step)
+			}
 		}
-		a := s.chooseAgent(now, t)
-		if a == nil && s.config.Placement == runs.PlaceAhead && s.reserve(now, t) {
-			continue
+		if a == nil && s.mayReserve(t) && !knownUnplaceable(unreservable, t) {
+			var hasRoom bool
+			if a, hasRoom = s.chooseReservation(now, t); !hasRoom {
+				unreservable = append(unreservable, *t.step)
+			}
+			t.reserved = a != nil
 		}
 		if a == nil {
 			kept = append(kept, t)
-			unplaceable = append(unplaceable, *t.step)
 			continue
 		}
 		s.offerTask(now, t, a)
--- a/internal/scheduler/lookahead.go
+++ b/internal/scheduler/lookahead.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 )
 
 // This file decides for which waiting tasks an entry reserves capacity, and where. It answers a demand above the capacity by tasks
@@ -51,19 +53,19 @@
 	return !a.load.Trial && len(a.load.Free) > 0 && a.load.Reservations+a.unreportedReservations < maxAgentReservations
 }
 
-// reserve offers a task that fits nowhere now as a reservation to the agent at which it is expected to end first, if it meets its
-// objective there. It returns whether the task was offered.
-//
-// A task is reserved only if its job can still be on time and has begun, or has no other task. Late jobs outnumber the others in a
-// peak, and would hold the capacity that those need. A job that has not begun would hold a part of the capacity it needs while
-// others hold the rest; with such reservations more work went into jobs that were never complete.
-func (s *Scheduler) reserve(now time.Time, t *task) bool {
-	if t.job.tier > 0 || t.job.OffersMade == 0 && len(t.job.tasks) > 1 {
-		return false
-	}
+// mayReserve reports whether capacity may be reserved for a task: its job can still be on time and has begun, or has no other
+// task. Late jobs outnumber the others in a peak, and would hold the capacity that those need. A job that has not begun would hold
+// a part of the capacity it needs while others hold the rest; with such reservations more work went into jobs that were never
+// complete.
+func (s *Scheduler) mayReserve(t *task) bool {
+	return s.config.Placement == runs.PlaceAhead && t.job.tier == 0 && (t.job.OffersMade > 0 || len(t.job.tasks) == 1)
+}
+
+// chooseReservation returns the agent at which a task that fits nowhere now is expected to end first, if it meets its objective
+// there, and whether any agent has room for it soon enough.
+func (s *Scheduler) chooseReservation(now time.Time, t *task) (best *agent, hasRoom bool) {
 	staleAfter, dueAt := s.staleAfter(), t.latestStart.Add(t.step.Estimate)
 	skipAvoided := len(t.avoidAgents) > 0 && s.hasAlternative(t)
-	var best *agent
 	bestTime := time.Duration(0)
 	for _, a := range s.agentList {
 		if !a.reservable() || now.Sub(a.heardAt) > staleAfter || !s.canRun(a, t) || skipAvoided && slices.Contains(t.avoidAgents, a.id) {
@@ -71,7 +73,11 @@
 		}
 		runTime := s.runTime(a, t)
 		wait, found := a.freeWait(now, t, runTime)
-		if !found || wait > maxReservationWait || now.Add(wait+runTime).After(dueAt) {
+		if !found || wait > maxReservationWait {
+			continue
+		}
+		hasRoom = true
+		if now.Add(wait + runTime).After(dueAt) {
 			continue
 		}
 		timeToEnd := time.Duration(float64(wait+runTime) * (1 + s.config.TieBreakJitter*s.config.Random.Float64()))
@@ -79,12 +85,7 @@
 			best, bestTime = a, timeToEnd
 		}
 	}
-	if best == nil {
-		return false
-	}
-	t.reserved = true
-	s.offerTask(now, t, best)
-	return true
+	return best, hasRoom
 }
 
 // SizeClass classifies a task by the share of the worker that it needs.
