--- a/internal/jobentry/metrics.go
+++ b/internal/jobentry/metrics.go
@@ -2,8 +2,11 @@
 
 import (
 	"expvar"
+	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/catalogsync"
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/metrics"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
 )
@@ -19,6 +22,14 @@
 	Reservations expvar.Int
 	// WaitMillis is, for each scheduler.SizeClass, the distribution of the time that tasks wait at the entry, in milliseconds.
 	WaitMillis [3]*metrics.Histogram
+	// MalformedConfigurations counts values of the operator's key that were ignored.
+	MalformedConfigurations expvar.Int
+	// Catalog counts transfers of the configuration.
+	Catalog catalogsync.Metrics
+	// EvacuationChanges counts changes of the set of evacuated data centres, EvacuationKeysInvalid the invalid keys that request
+	// an evacuation in the store, each once for each of its revisions.
+	EvacuationChanges, EvacuationKeysInvalid expvar.Int
+	evacuation                               atomic.Pointer[evacuation.Summary]
 	// AnswerMillis is the distribution of the time from arrival to answer of complete jobs, in milliseconds.
 	AnswerMillis *metrics.Histogram
 	// OfferMillis is the distribution of the time from arrival to the first offer, in milliseconds.
@@ -31,6 +42,7 @@
 	for i := range m.WaitMillis {
 		m.WaitMillis[i] = metrics.NewHistogram()
 	}
+	m.setEvacuation(evacuation.Summary{DataCentres: []evacuation.DataCentre{}})
 	return m
 }
 
@@ -48,6 +60,11 @@
 	vars.Set("wait_small_ms", m.WaitMillis[scheduler.SmallTask])
 	vars.Set("wait_medium_ms", m.WaitMillis[scheduler.MediumTask])
 	vars.Set("wait_large_ms", m.WaitMillis[scheduler.LargeTask])
+	vars.Set("malformed_configurations", &m.MalformedConfigurations)
+	m.Catalog.AddTo(vars)
+	vars.Set("evacuation", expvar.Func(func() any { return m.evacuation.Load() }))
+	vars.Set("evacuation_changes", &m.EvacuationChanges)
+	vars.Set("evacuation_keys_invalid", &m.EvacuationKeysInvalid)
 	vars.Set("answer_ms", m.AnswerMillis)
 	vars.Set("first_offer_ms", m.OfferMillis)
 	return vars
@@ -61,6 +78,8 @@
 	}
 }
 
+func (m *Metrics) setEvacuation(s evacuation.Summary) { m.evacuation.Store(&s) }
+
 func (m *Metrics) recordAnswer(a scheduler.Answer, now time.Time) {
 	if !a.Job.FirstOffer.IsZero() {
 		m.OfferMillis.Observe(a.Job.FirstOffer.Sub(a.Job.Arrived).Milliseconds())
--- a/internal/runs/backfill.go
+++ b/internal/runs/backfill.go
@@ -45,7 +45,8 @@
 			at = profileHorizon // only while runs exceed the capacity of a new incarnation of the worker
 		}
 		r.plannedIn = at
-		if found && at == 0 && t.used.Add(r.needs).FitsIn(t.announcement.Capacity) {
+		// The capacity that is admitted after an evacuation can be less than a task needs; an idle worker starts one nevertheless.
+		if found && at == 0 && t.used.Add(r.needs).FitsIn(t.admittedCapacity(now)) || len(t.active) == 0 {
 			if planned > 0 {
 				t.lookahead.Backfilled++
 			}
--- a/internal/runs/lookahead_test.go
+++ b/internal/runs/lookahead_test.go
@@ -213,3 +213,20 @@
 		}
 	})
 }
+
+// Measures a load report with a profile, at a worker with 12 runs and 3 waiting tasks.
+func BenchmarkLoadWithProfile(b *testing.B) {
+	r := newRig(gomega.NewWithT(b), 64_000)
+	for i := range 12 {
+		r.offer(5000, time.Duration(20+10*i)*time.Millisecond, 0)
+	}
+	for range 3 {
+		r.offer(7000, 60*time.Millisecond, 160*time.Millisecond)
+	}
+	b.ReportAllocs()
+	for range b.N {
+		if len(r.table.Load(r.now).Free) == 0 {
+			b.Fatal("no profile")
+		}
+	}
+}
--- a/internal/runs/profile.go
+++ b/internal/runs/profile.go
@@ -62,7 +62,7 @@
 		ends = append(ends, end{r.remaining(now, slowdown), r.needs})
 	}
 	slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.in, b.in) })
-	free := t.Announcement().Capacity.Sub(t.used)
+	free := t.admittedCapacity(now).Sub(t.used)
 	p := make(profile, 1, len(ends)+5)
 	p[0].free = free
 	for _, e := range ends {
--- a/internal/scheduler/agents.go
+++ b/internal/scheduler/agents.go
@@ -11,6 +11,7 @@
 // agent is the state of one agent and its worker, as the entry last heard of it.
 type agent struct {
 	id             AgentID
+	dataCentre     string
 	sameDataCentre bool // the agent is in the data centre of the entry
 	linked         bool
 	incarnation    uint64 // of the agent process at the other end of the link
@@ -66,7 +67,7 @@
 		s.agents[id] = a
 		s.agentList = append(s.agentList, a)
 	}
-	a.sameDataCentre = dataCentre == s.config.DataCentre
+	a.dataCentre, a.sameDataCentre = dataCentre, dataCentre == s.config.DataCentre
 	a.hasLoad = false
 	a.linked, a.incarnation, a.heardAt = true, incarnation, now
 }
@@ -164,6 +165,7 @@
 		a.fence = 0 // a new incarnation of the worker has accepted no token yet
 	}
 	a.worker = info
+	s.evacuation.epoch++
 }
 
 // ReportLoad applies a load report of an agent. It returns false, and ignores the report, if it comes from a process that a
@@ -200,6 +202,7 @@
 	}
 	delete(s.agents, id)
 	s.agentList = slices.DeleteFunc(s.agentList, func(b *agent) bool { return b == a })
+	s.evacuation.epoch++
 }
 
 // AvailableAgents returns the number of linked agents whose workers take tasks of a service; an empty name means any
@@ -207,7 +210,7 @@
 func (s *Scheduler) AvailableAgents(service string) int {
 	n := 0
 	for _, a := range s.agentList {
-		if a.linked && a.hasLoad && a.load.Open && (service == "" || a.worker.Service == service) {
+		if a.linked && a.hasLoad && a.load.Open && !s.isEvacuated(a) && (service == "" || a.worker.Service == service) {
 			n++
 		}
 	}
@@ -216,19 +219,22 @@
 
 // AgentSummary is the state of an agent, for a dump.
 type AgentSummary struct {
-	ID     AgentID         `json:"id"`
-	Linked bool            `json:"linked"`
-	Near   bool            `json:"near"`
-	Tasks  int             `json:"tasks"`
-	Worker wire.WorkerInfo `json:"worker"`
-	Load   wire.WorkerLoad `json:"load"`
+	ID     AgentID `json:"id"`
+	Linked bool    `json:"linked"`
+	Near   bool    `json:"near"`
+	// DataCentre is that of the agent; no offers are made while it is evacuated.
+	DataCentre string          `json:"data_centre"`
+	Evacuated  bool            `json:"evacuated,omitempty"`
+	Tasks      int             `json:"tasks"`
+	Worker     wire.WorkerInfo `json:"worker"`
+	Load       wire.WorkerLoad `json:"load"`
 }
 
 // Agents returns the state of each agent.
 func (s *Scheduler) Agents() []AgentSummary {
 	all := make([]AgentSummary, 0, len(s.agentList))
 	for _, a := range s.agentList {
-		all = append(all, AgentSummary{ID: a.id, Linked: a.linked, Near: a.sameDataCentre, Tasks: len(a.tasks), Worker: a.worker, Load: a.load})
+		all = append(all, AgentSummary{ID: a.id, Linked: a.linked, Near: a.sameDataCentre, DataCentre: a.dataCentre, Evacuated: s.isEvacuated(a), Tasks: len(a.tasks), Worker: a.worker, Load: a.load})
 	}
 	return all
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -118,6 +118,8 @@
 	tier        int     // urgency tier of its waiting tasks at the last sort
 	waitingWork float64 // of its waiting tasks at the last sort, see task.work
 	fits        bool    // a known worker can run each of its tasks
+	// fitsElsewhereAt is the evacuationState.epoch at which known workers outside the evacuated data centres could run each task.
+	fitsElsewhereAt uint64
 }
 
 // task is one task of a job.
@@ -181,6 +183,7 @@
 	lastSweep        time.Time // when the deadlines of all jobs were last checked
 	backlog          backlog
 	workerAddedAt    time.Time // when an agent last reported a new worker or a new incarnation of one
+	evacuation       evacuationState
 
 	outgoing []AgentMessage
 	answers  []Answer
@@ -412,6 +415,7 @@
 		switch {
 		case !j.Deadline.After(now):
 			s.expireJob(j)
+		case s.refuseEvacuated(now, j):
 		case j.OffersMade == 0 && now.Sub(j.Arrived) >= s.config.NoAgentTimeout && s.AvailableAgents(j.Queue.Service) == 0:
 			s.answerJob(j, Unreachable, "the entry has no contact with an agent of the service", overloadRetryAfter)
 		default:
