--- a/internal/runs/lookahead_test.go
+++ b/internal/runs/lookahead_test.go
@@ -169,6 +169,22 @@
 	g.Expect(r.ends).To(gomega.HaveKey(last))
 }
 
+// Guards against a reservation for the capacity of a run that has stalled past its expected end, and against one that relies on the
+// estimate of a run whose progress shows that it takes several times as long.
+func TestProfileFollowsTheProgressOfRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(g, 64_000)
+	r.offer(64_000, 50*time.Millisecond, 0)
+	g.Expect(r.table.Load(r.now).Free).To(gomega.Equal([]wire.FreeStep{{}, {Millis: 50, MilliCPU: 64_000}}))
+	for ref := range r.endsAt {
+		r.endsAt[ref] = r.now.Add(400 * time.Millisecond)
+	}
+	r.elapse(40 * time.Millisecond)
+	g.Expect(r.table.Load(r.now).Free).To(gomega.Equal([]wire.FreeStep{{}}), "at this pace it ends in 360 ms")
+	stalled := r.now.Add(500 * time.Millisecond) // no snapshot shows further progress
+	g.Expect(r.table.Load(stalled).Free).To(gomega.Equal([]wire.FreeStep{{}}))
+}
+
 // Guards against a plan that overstates what is free, against load reports that exceed their bound, and against a reservation that
 // is held beyond its time, with random tasks whose run times differ from the estimates.
 func TestPlanKeepsItsPromises(t *testing.T) {
--- a/internal/runs/profile.go
+++ b/internal/runs/profile.go
@@ -26,8 +26,10 @@
 	// minProgressPercent is the progress from which the pace of a run says more about its end than the estimate. Progress comes in
 	// whole percents.
 	minProgressPercent = 4
-	// minProgressTime is the same for the time that a run has taken; progress is known at intervals of up to 40 ms.
+	// minProgressTime is the same for the time that a run has taken.
 	minProgressTime = 15 * time.Millisecond
+	// progressInterval is the longest time between two snapshots of the runs of a worker.
+	progressInterval = 40 * time.Millisecond
 )
 
 // capacityStep is the free capacity from a time on until the next step.
@@ -44,7 +46,8 @@
 	elapsed := now.Sub(r.startedAt)
 	if measured := r.progressedAt.Sub(r.startedAt); r.percent >= minProgressPercent && measured >= minProgressTime {
 		total := measured * 100 / time.Duration(r.percent)
-		return max(total-elapsed, time.Millisecond)
+		overdue := now.Sub(r.progressedAt) - progressInterval // a run that makes no progress does not end
+		return max(total-elapsed, overdue, time.Millisecond)
 	}
 	expected := time.Duration(float64(r.offer.EstimateMillis)*slowdown) * time.Millisecond
 	return max(expected-elapsed, elapsed/2, time.Millisecond)
@@ -118,8 +121,11 @@
 // entry counts on capacity that is not there. Rises below minReportedRise are added to the next one.
 func (p profile) report() []wire.FreeStep {
 	steps := make([]wire.FreeStep, 0, maxProfileSteps)
-	k := 0 // the last step that begins before the bucket ends
+	k := 0
 	for at := time.Duration(0); at < profileHorizon; at += profileResolution {
+		for k+1 < len(p) && p[k+1].at <= at {
+			k++
+		}
 		free := p[k].free.MilliCPU
 		for k+1 < len(p) && p[k+1].at < at+profileResolution {
 			k++
