--- a/internal/command/subcommands.go
+++ b/internal/command/subcommands.go
@@ -15,6 +15,7 @@
 	groups := []*group{
 		newServiceGroup(),
 		newCertificateGroup(),
+		newConfigGroup(),
 		newGroup("stand-in", "run stand-ins for external systems, for tests and experiments",
 			newStandInPlatform(),
 			newStandInUpstream(),
