--- a/internal/jobentry/metrics.go
+++ b/internal/jobentry/metrics.go
@@ -18,6 +18,10 @@
 	// Complete, Failed, NotRun and GivenUp count answers, CallersLeft the jobs that were cancelled because their callers
 	// disconnected.
 	Complete, Failed, NotRun, GivenUp, CallersLeft expvar.Int
+	// Reservations counts the offers that reserve capacity.
+	Reservations expvar.Int
+	// WaitMillis is, for each scheduler.SizeClass, the distribution of the time that tasks wait at the entry, in milliseconds.
+	WaitMillis [3]*metrics.Histogram
 	// MalformedConfigurations counts values of the operator's key that were ignored.
 	MalformedConfigurations expvar.Int
 	// Catalog counts transfers of the configuration.
@@ -35,6 +39,9 @@
 // NewMetrics returns metrics at zero.
 func NewMetrics() *Metrics {
 	m := &Metrics{AnswerMillis: metrics.NewHistogram(), OfferMillis: metrics.NewHistogram()}
+	for i := range m.WaitMillis {
+		m.WaitMillis[i] = metrics.NewHistogram()
+	}
 	m.setEvacuation(evacuation.Summary{DataCentres: []evacuation.DataCentre{}})
 	return m
 }
@@ -49,6 +56,10 @@
 	vars.Set("jobs_not_run", &m.NotRun)
 	vars.Set("jobs_given_up", &m.GivenUp)
 	vars.Set("callers_left", &m.CallersLeft)
+	vars.Set("reservations", &m.Reservations)
+	vars.Set("wait_small_ms", m.WaitMillis[scheduler.SmallTask])
+	vars.Set("wait_medium_ms", m.WaitMillis[scheduler.MediumTask])
+	vars.Set("wait_large_ms", m.WaitMillis[scheduler.LargeTask])
 	vars.Set("malformed_configurations", &m.MalformedConfigurations)
 	m.Catalog.AddTo(vars)
 	vars.Set("evacuation", expvar.Func(func() any { return m.evacuation.Load() }))
@@ -59,6 +70,14 @@
 	return vars
 }
 
+func (m *Metrics) recordOffer(o scheduler.AgentMessage) {
+	m.OffersMade.Add(1)
+	m.WaitMillis[o.Size].Observe(o.Waited.Milliseconds())
+	if o.Offer.ReserveMillis > 0 {
+		m.Reservations.Add(1)
+	}
+}
+
 func (m *Metrics) setEvacuation(s evacuation.Summary) { m.evacuation.Store(&s) }
 
 func (m *Metrics) recordAnswer(a scheduler.Answer, now time.Time) {
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -11,8 +11,10 @@
 // Owner identifies one incarnation of an entry process.
 type Owner uint64
 
-// Config holds the timing parameters of a Table.
+// Config holds the parameters of a Table.
 type Config struct {
+	// Placement is the rule by which waiting tasks start. It is the same at entries and agents.
+	Placement Placement
 	// StartGracePeriod is the age from which a start without an answer counts as unconfirmed when a snapshot does not list
 	// the run. The run then gets a stop, which determines whether it starts.
 	StartGracePeriod time.Duration
@@ -31,6 +33,7 @@
 // DefaultConfig returns the parameters for tasks that take less than a second.
 func DefaultConfig() Config {
 	return Config{
+		Placement:         DefaultPlacement,
 		StartGracePeriod:  25 * time.Millisecond,  // ten times the usual response time of a worker on the same host
 		MaxBackfillAge:    50 * time.Millisecond,  // the run time of the shortest tasks, within which capacity becomes free for large ones
 		StopRetryInterval: 60 * time.Millisecond,  // just above the time that a worker takes to stop a run
@@ -78,6 +81,10 @@
 	// one arrived.
 	firstStopAt, stopSentAt, stopAnsweredAt time.Time
 	stopsSent                               int
+	// reservedUntil is when the reservation of a waiting task expires; zero if it has none. plannedIn is the time until its start
+	// in the last plan.
+	reservedUntil time.Time
+	plannedIn     time.Duration
 }
 
 // tierAt returns the urgency tier of a waiting task: 0 while it can still meet its objective, 1 while a late result is still
@@ -144,6 +151,7 @@
 	learned          learnedSlowdown
 	recent           recentSlowdown
 	health           health
+	lookahead        Lookahead
 
 	commands []Command
 	events   []RunEvent
@@ -332,8 +340,18 @@
 		t.endOffer(now, r, wire.RunNotStarted, reason)
 		return
 	}
+	if o.ReserveMillis > 0 && t.config.Placement == PlaceAhead {
+		if !t.admitReservation(now, r) {
+			t.endOffer(now, r, wire.RunNotStarted, "the worker holds other reservations")
+			return
+		}
+	}
 	t.queue.push(r)
 	t.startWaiting(now)
+	if t.config.Placement == PlaceAhead {
+		t.returnIfLate(now, r)
+		return
+	}
 	if limit := time.Duration(o.MaxWaitMillis) * time.Millisecond; r.state == waiting && limit > 0 && t.expectedWait(now, r) > limit {
 		t.queue.remove(r)
 		t.endOffer(now, r, wire.RunNotStarted, "the worker has no room soon")
@@ -392,6 +410,9 @@
 	t.removeActive(r)
 	delete(t.offers, offerKey{r.owner, r.offer.Number})
 	t.stopAwaiting(r)
+	if !r.reservedUntil.IsZero() {
+		t.lookahead.Released++
+	}
 	end := &wire.RunEnd{Number: r.offer.Number, Outcome: outcome, Reason: reason}
 	if outcome != wire.RunNotStarted && outcome != wire.RunInvalid {
 		end.Attempt = r.ref.Attempt
@@ -425,9 +446,14 @@
 // startWaiting starts waiting tasks that fit, the most urgent first. A smaller task may start before one that does not fit,
 // unless that one has waited for longer than MaxBackfillAge.
 func (t *Table) startWaiting(now time.Time) {
+	t.expireReservations(now)
 	if t.closedReason(now) != "" || len(t.orphans) > 0 {
 		return
 	}
+	if t.config.Placement == PlaceAhead {
+		t.startPlanned(now)
+		return
+	}
 	t.queue.sort(now)
 	for _, r := range slices.Clone(t.queue.runs) {
 		switch {
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -11,7 +11,10 @@
 )
 
 // waitingQueue holds the tasks that wait at the entry.
-type waitingQueue struct{ tasks []*task }
+type waitingQueue struct {
+	tasks        []*task
+	largestFirst bool // see runs.PlaceBySize
+}
 
 func (q *waitingQueue) Len() int { return len(q.tasks) }
 
@@ -21,6 +24,9 @@
 func (q *waitingQueue) sort(now time.Time, b *backlog) {
 	for _, t := range q.tasks {
 		t.job.tier, t.job.waitingWork = 0, 0
+		if t.waitingSince.IsZero() {
+			t.waitingSince = now
+		}
 	}
 	for _, t := range q.tasks {
 		t.job.waitingWork += t.work()
@@ -29,8 +35,12 @@
 		t.job.tier = max(t.job.tier, t.tierAt(now, b)) // a job is as late as its most overdue task
 	}
 	slices.SortStableFunc(q.tasks, func(a, b *task) int {
+		bySize := 0
+		if q.largestFirst {
+			bySize = cmp.Compare(b.step.Needs.MilliCPU, a.step.Needs.MilliCPU)
+		}
 		return cmp.Or(
-			cmp.Compare(a.job.tier, b.job.tier), cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), a.latestStart.Compare(b.latestStart),
+			cmp.Compare(a.job.tier, b.job.tier), cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), bySize, a.latestStart.Compare(b.latestStart),
 		)
 	})
 }
@@ -101,16 +111,25 @@
 	s.changedSincePass, s.lastPass = false, now
 	s.waiting.sort(now, &s.backlog)
 	kept := s.waiting.tasks[:0]
-	var unplaceable []job.Step // steps of tasks that fitted nowhere in this pass
+	// unplaceable are the steps of tasks that fitted nowhere in this pass, unreservable of those without room soon.
+	var unplaceable, unreservable []job.Step
 	for _, t := range s.waiting.tasks {
-		if knownUnplaceable(unplaceable, t) {
-			kept = append(kept, t)
-			continue
+		var a *agent
+		if !knownUnplaceable(unplaceable, t) {
+			a = s.chooseAgent(now, t)
+			if a == nil {
+				unplaceable = append(unplaceable, *t.step)
+			}
+		}
+		if a == nil && s.mayReserve(t) && !knownUnplaceable(unreservable, t) {
+			var hasRoom bool
+			if a, hasRoom = s.chooseReservation(now, t); !hasRoom {
+				unreservable = append(unreservable, *t.step)
+			}
+			t.reserved = a != nil
 		}
-		a := s.chooseAgent(now, t)
 		if a == nil {
 			kept = append(kept, t)
-			unplaceable = append(unplaceable, *t.step)
 			continue
 		}
 		s.offerTask(now, t, a)
@@ -151,10 +170,7 @@
 		if !s.canRun(a, t) || skipAvoided && slices.Contains(t.avoidAgents, a.id) || skipTrials && a.load.Trial {
 			continue
 		}
-		runTime := time.Duration(float64(t.step.Estimate) * a.slowdown())
-		if !a.sameDataCentre {
-			runTime += s.config.RemoteDelay
-		}
+		runTime := s.runTime(a, t)
 		wait := a.expectedWait(now, t)
 		onTime := !now.Add(wait + runTime).After(dueAt)
 		canWait = canWait || !now.Add(runTime).After(dueAt)
@@ -176,6 +192,15 @@
 	return bestLate
 }
 
+// runTime returns the expected time from the start of a task on the worker until its end is known.
+func (s *Scheduler) runTime(a *agent, t *task) time.Duration {
+	runTime := time.Duration(float64(t.step.Estimate) * a.slowdown())
+	if !a.sameDataCentre {
+		runTime += s.config.RemoteDelay
+	}
+	return runTime
+}
+
 // staleAfter returns the age of the last message of an agent from which its link may be dead.
 func (s *Scheduler) staleAfter() time.Duration {
 	return runs.IdleHeartbeatInterval(len(s.agentList)) + runs.StaleAfter
@@ -259,6 +284,11 @@
 
 func (s *Scheduler) offerTask(now time.Time, t *task, a *agent) {
 	s.lastOffer++
+	reserveMillis := int64(0)
+	if t.reserved {
+		reserveMillis = reservationTimeout.Milliseconds()
+		t.job.Reservations++
+	}
 	t.state, t.agent, t.incarnation, t.offerNumber, t.started = taskOffered, a, a.incarnation, s.lastOffer, false
 	s.offers[t.offerNumber] = t
 	a.tasks[t.offerNumber] = t
@@ -269,12 +299,12 @@
 	if j.FirstOffer.IsZero() {
 		j.FirstOffer = now
 	}
-	s.outgoing = append(s.outgoing, AgentMessage{Agent: a.id, Offer: &wire.Offer{
+	s.outgoing = append(s.outgoing, AgentMessage{Agent: a.id, Waited: now.Sub(t.waitingSince), Size: a.sizeClass(t), Offer: &wire.Offer{
 		Number: t.offerNumber, Job: j.Spec.ID, Step: t.stepIndex, Index: t.index, Attempt: t.highestAttempt + 1, Payload: j.Spec.Payload,
 		Service: j.Queue.Service, MilliCPU: t.step.Needs.MilliCPU, MemoryMB: t.step.Needs.MemoryMB,
 		Accelerators: t.step.Needs.Accelerators, EstimateMillis: t.step.Estimate.Milliseconds(),
 		Priority: j.Queue.Priority, SlackMillis: t.latestStart.Sub(now).Milliseconds(),
 		BudgetMillis: j.Deadline.Sub(now).Milliseconds(), LateWindowMillis: j.lateWindow().Milliseconds(),
-		MaxWaitMillis: s.config.MaxWaitOnArrival.Milliseconds(), Label: t.step.Label,
+		MaxWaitMillis: s.config.MaxWaitOnArrival.Milliseconds(), Label: t.step.Label, ReserveMillis: reserveMillis,
 	}})
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
 	"github.com/coltsfootspur/coltsfootspur/internal/job"
+	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
 
@@ -38,6 +39,8 @@
 	Random *rand.Rand
 	// NoAgentTimeout is how long a job waits at an entry that is linked to no available agent of the service.
 	NoAgentTimeout time.Duration
+	// Placement is the rule by which waiting tasks are placed. It is the same at entries and agents.
+	Placement runs.Placement
 }
 
 // DefaultConfig returns the parameters for tasks that take less than a second.
@@ -51,6 +54,7 @@
 		Random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		// Agents link to a new entry within 100 ms, and an entry that is cut off loses them within 400 ms.
 		NoAgentTimeout: 250 * time.Millisecond,
+		Placement:      runs.DefaultPlacement,
 	}
 }
 
@@ -92,6 +96,8 @@
 	Deadline       time.Time
 	// OffersMade, TasksStarted, OffersEnded and RunFailures count over all tasks.
 	OffersMade, TasksStarted, OffersEnded, RunFailures int
+	// Reservations counts the offers that were reservations.
+	Reservations int
 	// FirstOffer is when the first task was offered to an agent; zero before that.
 	FirstOffer time.Time
 	// Handle belongs to the submitter; the scheduler does not use it.
@@ -132,6 +138,9 @@
 	agent          *agent
 	incarnation    uint64 // of the agent process that got the offer
 	started        bool
+	reserved       bool // the offer is a reservation
+	// waitingSince is when the first pass saw the task in the queue; zero before it.
+	waitingSince time.Time
 	// mayHaveRun is true once a run of the task has started or may have started.
 	mayHaveRun bool
 	// runEndedAt is when a run at an agent without contact has certainly ended.
@@ -153,6 +162,9 @@
 	Agent    AgentID
 	Offer    *wire.Offer // nil for a withdrawal
 	Withdraw uint64      // number of the offer to withdraw; 0 with Offer
+	// Waited is how long the task of an offer has waited at the entry, Size its class of size.
+	Waited time.Duration
+	Size   SizeClass
 }
 
 // Scheduler holds the open jobs of one entry and the state of its agents.
@@ -180,7 +192,8 @@
 // New returns a scheduler without jobs or agents.
 func New(config Config) *Scheduler {
 	return &Scheduler{
-		config: config, jobs: make(map[string]*Job), offers: make(map[uint64]*task), agents: make(map[AgentID]*agent), shortWaits: make(shortWaitShares),
+		waiting: waitingQueue{largestFirst: config.Placement == runs.PlaceBySize},
+		config:  config, jobs: make(map[string]*Job), offers: make(map[uint64]*task), agents: make(map[AgentID]*agent), shortWaits: make(shortWaitShares),
 	}
 }
 
@@ -371,7 +384,7 @@
 
 // enqueue puts a task into the queue of the entry.
 func (s *Scheduler) enqueue(t *task) {
-	t.state = taskWaiting
+	t.state, t.reserved, t.waitingSince = taskWaiting, false, time.Time{}
 	s.waiting.push(t)
 	s.changedSincePass = true
 }
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -43,6 +43,9 @@
 	// linksCheckedAt is when the links of all entries were last checked; zero after a new link has to be reported to at once.
 	linksCheckedAt time.Time
 	drained        chan<- struct{}
+	// lookahead is what the last log line about reservations said, at lookaheadLoggedAt.
+	lookahead         runs.Lookahead
+	lookaheadLoggedAt time.Time
 }
 
 func newControl(a *Agent) *control {
@@ -96,6 +99,7 @@
 	if checkLinks {
 		c.syncCatalog(now)
 		c.sendHeartbeats(now)
+		c.recordLookahead(now)
 		c.relayEvacuation(now)
 	}
 	if c.drained != nil && c.table.Idle() {
--- a/internal/workeragent/metrics.go
+++ b/internal/workeragent/metrics.go
@@ -24,6 +24,8 @@
 	// AnnouncementsNotInForce counts announcements that were outdated or of another incarnation than the one that answers,
 	// WorkerIncarnations the incarnations of the worker that have answered a poll.
 	AnnouncementsNotInForce, WorkerIncarnations expvar.Int
+	// Lookahead counts reservations and backfilled tasks. The control goroutine stores it.
+	Lookahead atomic.Pointer[runs.Lookahead]
 	// Catalog counts transfers of the configuration.
 	Catalog catalogsync.Metrics
 	// EvacuationChanges counts changes of the set of evacuated data centres.
@@ -59,6 +61,7 @@
 	vars.Set("evacuation", expvar.Func(func() any { return m.evacuation.Load() }))
 	vars.Set("evacuation_changes", &m.EvacuationChanges)
 	vars.Set("run_ms", m.RunMillis)
+	vars.Set("lookahead", expvar.Func(func() any { return m.Lookahead.Load() }))
 	return vars
 }
 
