--- a/internal/runs/results.go
+++ b/internal/runs/results.go
@@ -108,6 +108,7 @@
 	}
 	t.recent.observe(now, work, elapsed)
 	t.stopSlowRuns(now)
+	t.stopLongRuns(now)
 	for ref := range t.orphans {
 		if !listed[ref] {
 			delete(t.orphans, ref)
@@ -139,6 +140,7 @@
 			t.learned.learn(time.Duration(r.offer.EstimateMillis)*time.Millisecond, now.Sub(r.startedAt))
 		}
 		t.health.recordSuccess()
+		t.longRuns.recordDone(r)
 		t.endOffer(now, r, wire.RunDone, "")
 	case EndFailed:
 		t.health.recordFailure(now)
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -26,6 +26,9 @@
 	StallBackoff time.Duration
 	// FailureBackoff is the same for a worker whose runs fail consecutively.
 	FailureBackoff time.Duration
+	// MoveLongRuns stops a first attempt whose progress shows that it takes several times its estimate, so that the task is
+	// started again on another worker.
+	MoveLongRuns bool
 }
 
 // DefaultConfig returns the parameters for tasks that take less than a second.
@@ -37,6 +40,7 @@
 		StallTimeout:      400 * time.Millisecond, // within this a healthy worker completes one percent of a task of several seconds
 		StallBackoff:      500 * time.Millisecond, // the shortest time in which a probation task of ordinary length can end
 		FailureBackoff:    500 * time.Millisecond,
+		MoveLongRuns:      true,
 	}
 }
 
@@ -72,6 +76,8 @@
 	withdrawn  bool
 	// mayHaveRun is set if an earlier incarnation of the worker may have started the run.
 	mayHaveRun bool
+	// isLong is set while the progress of the run shows that it takes several times its estimate.
+	isLong bool
 	// confirmedAt is when an answer to the start, or a snapshot, first showed the run on the worker.
 	confirmedAt time.Time
 	// firstStopAt and stopSentAt are when the first and the last of the stops was sent, stopAnsweredAt when the first answer to
@@ -139,6 +145,7 @@
 	learned          learnedSlowdown
 	recent           recentSlowdown
 	health           health
+	longRuns         longRuns
 
 	commands []Command
 	events   []RunEvent
@@ -444,7 +451,7 @@
 func (t *Table) startRun(now time.Time, r *run) {
 	r.ref.Attempt = t.highestAttempts.next(r.ref.Task, r.offer.Attempt)
 	r.state, r.startedAt, r.progressedAt, r.measuredAt, r.stopAnsweredAt, r.percent = starting, now, now, now, time.Time{}, 0
-	r.mayHaveRun, r.confirmedAt, r.stopsSent = false, time.Time{}, 0
+	r.mayHaveRun, r.isLong, r.confirmedAt, r.stopsSent = false, false, time.Time{}, 0
 	t.active[r.ref] = r
 	t.used = t.used.Add(r.needs)
 	t.commands = append(t.commands, Command{Ref: r.ref, Payload: r.offer.Payload, Worker: t.announcement.ID})
