--- a/internal/jobentry/agents.go
+++ b/internal/jobentry/agents.go
@@ -100,11 +100,11 @@
 		if since := now.Sub(a.echoSentAt); since < runs.HeartbeatInterval || !a.busy && since < idleInterval {
 			continue
 		}
-		a.echoSentAt = now
+		a.echoSentAt, a.demandSentAt = now, now
 		c.send(a, &wire.Heartbeat{
 			SentMicros: clock.BootMicros(now), LastReceivedMicros: a.lastReceivedMicros, CatalogVersion: catalog.VersionOf(c.entry.Catalog()),
 			LoadIntervalMillis: uint32(len(c.agents)) * 1000 / maxLoadReportsPerSecond,
-			IdleIntervalMillis: uint32(idleInterval.Milliseconds()),
+			IdleIntervalMillis: uint32(idleInterval.Milliseconds()), Demand: c.scheduler.Demand(now, a.id),
 		})
 	}
 }
--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -10,6 +10,7 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/catalog"
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
@@ -74,6 +75,9 @@
 	jobQueries map[uint64]chan<- struct{}
 	// refusingJobs is true at the end of a planned stop: new jobs are answered with NotRun.
 	refusingJobs bool
+	// peaks holds, for each service, whether jobs are refused by share; sharesCheckedAt is when that was last looked at.
+	peaks           map[string]*peak
+	sharesCheckedAt time.Time
 }
 
 // agentConn is the state of the connection to one agent.
@@ -89,11 +93,12 @@
 	idleEndedAt    time.Time
 	catalogVersion uint64 // version of the agent's catalog
 	pending        wire.Offers
+	demandSentAt   time.Time // when the last message with the demand of this entry was sent
 }
 
 func newControl(e *Entry) *control {
 	return &control{
-		entry: e, log: e.options.Log, agents: make(map[scheduler.AgentID]*agentConn), jobQueries: make(map[uint64]chan<- struct{}),
+		entry: e, log: e.options.Log, agents: make(map[scheduler.AgentID]*agentConn), jobQueries: make(map[uint64]chan<- struct{}), peaks: make(map[string]*peak),
 		scheduler: scheduler.New(scheduler.DefaultConfig(e.options.DataCentre)),
 	}
 }
@@ -157,6 +162,7 @@
 	c.flush(now)
 	if checkLinks {
 		c.sendHeartbeats(now)
+		c.logShares(now)
 		c.entry.availableAgents.Store(int64(c.scheduler.AvailableAgents("")))
 	}
 }
@@ -201,6 +207,9 @@
 		a.idleEndedAt = now
 	}
 	a.busy = c.scheduler.HasOpenOffers(a.id)
+	if now.Sub(a.demandSentAt) >= runs.HeartbeatInterval {
+		a.demandSentAt, m.Demand = now, c.scheduler.Demand(now, a.id)
+	}
 	c.send(a, &m)
 }
 
--- a/internal/jobentry/metrics.go
+++ b/internal/jobentry/metrics.go
@@ -15,6 +15,8 @@
 	// Complete, Failed, NotRun and GivenUp count answers, CallersLeft the jobs that were cancelled because their callers
 	// disconnected.
 	Complete, Failed, NotRun, GivenUp, CallersLeft expvar.Int
+	// Refusals counts answers of NotRun by reason.
+	Refusals expvar.Map
 	// AnswerMillis is the distribution of the time from arrival to answer of complete jobs, in milliseconds.
 	AnswerMillis *metrics.Histogram
 	// OfferMillis is the distribution of the time from arrival to the first offer, in milliseconds.
@@ -35,6 +37,7 @@
 	vars.Set("jobs_failed", &m.Failed)
 	vars.Set("jobs_not_run", &m.NotRun)
 	vars.Set("jobs_given_up", &m.GivenUp)
+	vars.Set("refusals", &m.Refusals)
 	vars.Set("callers_left", &m.CallersLeft)
 	vars.Set("answer_ms", m.AnswerMillis)
 	vars.Set("first_offer_ms", m.OfferMillis)
@@ -53,6 +56,9 @@
 		m.Failed.Add(1)
 	case scheduler.NotRun, scheduler.Invalid, scheduler.Unreachable:
 		m.NotRun.Add(1)
+		if a.Outcome == scheduler.NotRun {
+			m.Refusals.Add(a.Reason, 1)
+		}
 	default:
 		m.GivenUp.Add(1)
 	}
--- a/internal/jobentry/queries.go
+++ b/internal/jobentry/queries.go
@@ -68,13 +68,14 @@
 	Open    int                      `json:"open_jobs"`
 	Waiting int                      `json:"waiting_tasks"`
 	Agents  []scheduler.AgentSummary `json:"agents"`
+	Shares  []scheduler.ShareSummary `json:"shares"`
 }
 
 // Dump returns the state of the entry, or false if ctx ends first or the entry has stopped.
 func (e *Entry) Dump(ctx context.Context) (State, bool) {
 	s := make(chan State, 1)
 	ok := e.runInControl(ctx, func(c *control, _ time.Time) {
-		state := State{ID: e.options.ID, Open: c.scheduler.OpenJobs(), Waiting: c.scheduler.WaitingTasks(), Agents: c.scheduler.Agents()}
+		state := State{ID: e.options.ID, Open: c.scheduler.OpenJobs(), Waiting: c.scheduler.WaitingTasks(), Agents: c.scheduler.Agents(), Shares: c.scheduler.Shares()}
 		if config := e.Catalog(); config != nil {
 			state.Catalog = config.Version
 		}
--- a/internal/runs/queue.go
+++ b/internal/runs/queue.go
@@ -8,9 +8,9 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/job"
 )
 
-// reportedPriorities is the number of priorities that a load report distinguishes; lower priorities are added to the last
+// ReportedPriorities is the number of priorities that a load report distinguishes; lower priorities are added to the last
 // one.
-const reportedPriorities = 4
+const ReportedPriorities = 4
 
 // queue holds the tasks that wait to be started, and the sum of their needs.
 type queue struct {
@@ -47,9 +47,9 @@
 	if len(q.runs) == 0 || milliCPU == 0 {
 		return nil
 	}
-	w := make([]int64, reportedPriorities)
+	w := make([]int64, ReportedPriorities)
 	for _, r := range q.runs {
-		w[min(max(r.offer.Priority, 0), reportedPriorities-1)] += r.needs.MilliCPU * max(r.offer.EstimateMillis, 1)
+		w[min(max(r.offer.Priority, 0), ReportedPriorities-1)] += r.needs.MilliCPU * max(r.offer.EstimateMillis, 1)
 	}
 	for i := range w {
 		w[i] /= milliCPU
--- /dev/null
+++ b/internal/scheduler/admission_test.go
@@ -0,0 +1,85 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/coltsfootspur/coltsfootspur/internal/runs"
+	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
+)
+
+const (
+	replayPeakAt   = 2 * time.Second
+	replayPeakTime = 4 * time.Second
+)
+
+// peak returns the demand of a peak at a multiple of the capacity, which is nearly the rate of the work plan. The demand before
+// and after it is 0.6 of the capacity.
+func peak(multiple float64) func(kind, entry int, at time.Duration) float64 {
+	return func(_, _ int, at time.Duration) float64 {
+		if at >= replayPeakAt && at < replayPeakAt+replayPeakTime {
+			return multiple
+		}
+		return 0.6
+	}
+}
+
+// newPeak returns a replay with 15 workers and 5 entries of unequal size.
+func newPeak(seed uint64, multiple float64) *replay {
+	return &replay{
+		seed: seed, workers: 15, entries: []float64{0.144, 0.2, 0.3, 0.5, 0.8}, demand: peak(multiple),
+		span: replayPeakAt + replayPeakTime + time.Second, stopTime: 50 * time.Millisecond,
+	}
+}
+
+func withoutShares(c *scheduler.Config) { c.AdmitByShares = false }
+
+func withoutMoves(c *runs.Config) { c.MoveLongRuns = false }
+
+// sumOf runs a replay with several seeds and returns the sums of the results.
+func sumOf(seeds uint64, newReplay func(seed uint64) *replay) map[string]*replayResult {
+	sum := make(map[string]*replayResult)
+	for seed := range seeds {
+		for name, r := range newReplay(seed).run() {
+			if sum[name] == nil {
+				sum[name] = &replayResult{}
+			}
+			sum[name].add(r)
+		}
+	}
+	return sum
+}
+
+// Guards against a peak in which the capacity goes into jobs that are late, in which an entry with many callers serves a smaller
+// share of them than one with few, or in which a kind of job is starved.
+func TestPeakIsAdmittedByShares(t *testing.T) {
+	g := gomega.NewWithT(t)
+	former := sumOf(2, func(seed uint64) *replay {
+		p := newPeak(seed, 2)
+		p.config, p.runsConfig = withoutShares, withoutMoves
+		return p
+	})
+	present := sumOf(2, func(seed uint64) *replay { return newPeak(seed, 2) })
+	for _, name := range []string{"all", "q0", "q1", "q2", "entry0", "entry4"} {
+		t.Logf("%-7s without: %s", name, former[name])
+		t.Logf("%-7s with:    %s", name, present[name])
+	}
+	g.Expect(present["all"].valueShare()).To(gomega.BeNumerically(">", 1.25*former["all"].valueShare()))
+	for _, queue := range []string{"q0", "q1", "q2"} {
+		g.Expect(present[queue].valueShare()).To(gomega.BeNumerically(">", former[queue].valueShare()-0.05), queue)
+		g.Expect(frac(present[queue].inTime, present[queue].jobs)).To(gomega.BeNumerically(">", 0.15), queue)
+	}
+	small, large := present["entry0"], present["entry4"]
+	g.Expect(frac(small.refused, small.jobs)).To(gomega.BeNumerically("~", frac(large.refused, large.jobs), 0.12))
+	g.Expect(present["all"].wasted / present["all"].work).To(gomega.BeNumerically("<", 0.1))
+}
+
+// Guards against refusals while the demand is below the capacity.
+func TestNoRefusalBelowTheCapacity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newPeak(1, 0.8).run()["all"]
+	t.Logf("%s", r)
+	g.Expect(r.refused + r.lost).To(gomega.BeZero())
+}
--- a/internal/scheduler/refusal.go
+++ b/internal/scheduler/refusal.go
@@ -69,11 +69,7 @@
 }
 
 func (b *backlog) recordJob(now time.Time, j *Job) {
-	work := 0.0
-	for _, t := range j.tasks {
-		work += t.work()
-	}
-	b.arrived.add(now, arrivalRateWindow, work)
+	b.arrived.add(now, arrivalRateWindow, j.work())
 }
 
 func (b *backlog) recordOffer(now time.Time, t *task) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -38,6 +38,11 @@
 	Random *rand.Rand
 	// NoAgentTimeout is how long a job waits at an entry that is linked to no available agent of the service.
 	NoAgentTimeout time.Duration
+	// AdmitByShares refuses jobs on arrival while the demand exceeds the capacity of their service, by the shares that their
+	// classes, queues and groups are entitled to.
+	AdmitByShares bool
+	// ShareByGroup divides the share of a queue among the groups of jobs with the same payload. It needs AdmitByShares.
+	ShareByGroup bool
 }
 
 // DefaultConfig returns the parameters for tasks that take less than a second.
@@ -51,6 +56,8 @@
 		Random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		// Agents link to a new entry within 100 ms, and an entry that is cut off loses them within 400 ms.
 		NoAgentTimeout: 250 * time.Millisecond,
+		AdmitByShares:  true,
+		ShareByGroup:   true,
 	}
 }
 
@@ -161,6 +168,7 @@
 	offers     map[uint64]*task
 	agents     map[AgentID]*agent
 	shortWaits shortWaitShares
+	shares     map[string]*serviceShares
 	agentList  []*agent
 	lastOffer  uint64
 	// changedSincePass is true when something has changed since lastPass, the time of the last pass over the waiting tasks.
@@ -177,7 +185,7 @@
 // New returns a scheduler without jobs or agents.
 func New(config Config) *Scheduler {
 	return &Scheduler{
-		config: config, jobs: make(map[string]*Job), offers: make(map[uint64]*task), agents: make(map[AgentID]*agent), shortWaits: make(shortWaitShares),
+		config: config, jobs: make(map[string]*Job), offers: make(map[uint64]*task), agents: make(map[AgentID]*agent), shortWaits: make(shortWaitShares), shares: make(map[string]*serviceShares),
 	}
 }
 
@@ -213,8 +221,15 @@
 	j.chainTimes = chainTimes(j.Spec.Steps)
 	j.objective = time.Duration(j.Queue.ObjectiveFactor*float64(slices.Max(j.chainTimes))) + j.Queue.ObjectiveExtra
 	s.backlog.recordJob(now, j)
-	s.enqueueReadyTasks(j)
-	if !s.refuseUnfit(now, j) {
+	isAdmitted := !s.config.AdmitByShares || s.admits(now, j)
+	if isAdmitted {
+		s.enqueueReadyTasks(j)
+	}
+	switch {
+	case s.refuseUnfit(now, j):
+	case !isAdmitted:
+		s.deferOrRefuse(now, j)
+	default:
 		s.assign(now)
 	}
 	return nil
@@ -388,6 +403,9 @@
 		s.lastSweep = now
 		s.sweep(now)
 	}
+	for service, shares := range s.shares {
+		s.updateShares(now, service, shares)
+	}
 	s.assign(now)
 }
 
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -62,6 +62,9 @@
 	// EndsIdle is set when the entry had no open offer on the link before this message. The agent then measures the time
 	// without contact from this message on, because the last echo can be older than that.
 	EndsIdle bool `cbor:"7,keyasint,omitempty"`
+	// Demand is the work of the jobs of the receiver's service that arrive at the sender, by priority, in thousandths of a core.
+	// The last element includes all remaining priorities. Empty means that it has not changed much.
+	Demand []int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // RunEnd reports the end of one offer.
@@ -108,6 +111,9 @@
 	Trial bool `cbor:"8,keyasint,omitempty"`
 	// Fence is the fencing token of the agent's process. Each new process of an agent has a higher token.
 	Fence uint64 `cbor:"9,keyasint,omitempty"`
+	// Demand is the work of the arriving jobs of the worker's service at all entries together, by priority, in thousandths of a
+	// core. The last element includes all remaining priorities.
+	Demand []int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // RunReport carries the ends of offers and the load of the worker from an agent to an entry.
@@ -135,6 +141,8 @@
 	// IdleIntervalMillis is the interval in milliseconds of heartbeats on the link while the entry has no open offer on it.
 	// An entry sets it.
 	IdleIntervalMillis uint32 `cbor:"5,keyasint,omitempty"`
+	// Demand is the same as in Offers, but empty means none. An entry sets it.
+	Demand []int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // CatalogPull requests the configuration from an agent whose Heartbeat announces a newer version.
--- a/internal/workeragent/control.go
+++ b/internal/workeragent/control.go
@@ -112,7 +112,7 @@
 		}
 	}
 	load, info := c.table.Load(now), c.table.WorkerInfo()
-	load.Fence = c.worker.fence
+	load.Fence, load.Demand = c.worker.fence, c.totalDemand()
 	if reportLoad || load.Open != c.lastLoadOpen {
 		changed := c.loadDirty || load.Open != c.lastLoadOpen
 		for _, o := range c.owners {
@@ -128,6 +128,20 @@
 	}
 }
 
+// totalDemand returns the sum of the demands of all entries, by priority, in thousandths of a core; nil if there is none.
+func (c *control) totalDemand() []int64 {
+	var total []int64
+	for _, o := range c.owners {
+		if total == nil && len(o.demand) > 0 {
+			total = make([]int64, runs.ReportedPriorities)
+		}
+		for priority, d := range o.demand[:min(len(o.demand), runs.ReportedPriorities)] {
+			total[priority] += d
+		}
+	}
+	return total
+}
+
 func (c *control) recordEvent(event runs.RunEvent) {
 	if event.End == nil {
 		c.agent.options.Metrics.Started.Add(1)
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -43,6 +43,7 @@
 	infoPending  bool
 	// loadInterval is the shortest interval between two load reports without ends. The entry sets it.
 	loadInterval  time.Duration
+	demand        []int64 // of the entry, see wire.Heartbeat
 	pendingReport wire.RunReport
 	recentEnds    []wire.RunEnd // reported again if the entry asks for them on a new link
 }
@@ -193,12 +194,16 @@
 		if m.EndsIdle {
 			o.idleEndedAt = maxTime(o.idleEndedAt, e.at.Add(-delay))
 		}
+		if len(m.Demand) > 0 {
+			o.demand = m.Demand
+		}
 		c.applyOffers(now, id, o, m)
 	case *wire.Heartbeat:
 		if o.excessDelay(e.at, m.SentMicros) > maxMessageDelay {
 			return
 		}
 		o.recordTimes(m.SentMicros, m.LastReceivedMicros)
+		o.demand = m.Demand
 		o.loadInterval = loadInterval(time.Duration(m.LoadIntervalMillis) * time.Millisecond)
 		o.idleInterval = idleInterval(time.Duration(m.IdleIntervalMillis) * time.Millisecond)
 	case *wire.CatalogPush:
