--- a/internal/scheduler/admission_test.go
+++ b/internal/scheduler/admission_test.go
@@ -1,6 +1,8 @@
 package scheduler_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -83,3 +85,42 @@
 	t.Logf("%s", r)
 	g.Expect(r.refused).To(gomega.BeZero())
 }
+
+// Guards against one payload that most jobs of a queue carry, and that takes the places of the queue's other jobs or those of
+// other queues.
+func TestHotKeyDoesNotCrowdOutTheOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	inPeak := func(kind int, at time.Duration) bool {
+		return kind == 1 && at >= replayPeakAt && at < replayPeakAt+replayPeakTime
+	}
+	hot := func(config func(*scheduler.Config)) map[string]*replayResult {
+		return sumOf(1, func(seed uint64) *replay {
+			p := newPeak(seed, 1)
+			p.config = config
+			p.demand = func(kind, _ int, at time.Duration) float64 {
+				if inPeak(kind, at) {
+					return 2.25
+				}
+				return 0.9
+			}
+			p.payload = func(r *rand.Rand, kind int, at time.Duration) string {
+				if inPeak(kind, at) && r.Float64() < 0.6 {
+					return "hot"
+				}
+				return fmt.Sprint("p", r.Uint64())
+			}
+			return p
+		})
+	}
+	former, present := hot(func(c *scheduler.Config) { c.ShareByGroup = false }), hot(nil)
+	for _, name := range []string{"q0", "q1 p", "q1 h", "q2"} {
+		t.Logf("%-5s without groups: %s", name, former[name])
+		t.Logf("%-5s with groups:    %s", name, present[name])
+	}
+	rest := present["q1 p"]
+	g.Expect(rest.valueShare()).To(gomega.BeNumerically(">", former["q1 p"].valueShare()+0.1))
+	g.Expect(present["q1 h"].valueShare()).To(gomega.BeNumerically(">", 0.1), "the hot key is not starved")
+	for _, other := range []string{"q0", "q2"} {
+		g.Expect(present[other].valueShare()).To(gomega.BeNumerically(">", former[other].valueShare()-0.1), other)
+	}
+}
--- a/internal/scheduler/agents.go
+++ b/internal/scheduler/agents.go
@@ -152,6 +152,9 @@
 	}
 	if info.Worker != a.worker.Worker || info.Service != a.worker.Service || info.Life > a.worker.Life {
 		s.workerAddedAt = now
+		if s.firstWorkerAt.IsZero() {
+			s.firstWorkerAt = now
+		}
 	}
 	if info.Life > a.worker.Life {
 		a.fence = 0 // a new incarnation of the worker has accepted no token yet
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -177,6 +177,7 @@
 	lastSweep        time.Time // when the deadlines of all jobs were last checked
 	backlog          backlog
 	workerAddedAt    time.Time // when an agent last reported a new worker or a new incarnation of one
+	firstWorkerAt    time.Time // when an agent first reported a worker
 
 	outgoing []AgentMessage
 	answers  []Answer
--- a/internal/scheduler/shares.go
+++ b/internal/scheduler/shares.go
@@ -79,21 +79,20 @@
 
 // serviceShares is the admission state of one service.
 type serviceShares struct {
-	demand       [classes]decayedRate // at this entry, in thousandths of a core times milliseconds
-	total        [classes]float64     // at all entries, in thousandths of a core
-	capacity     float64              // of all workers, in thousandths of a core
-	fraction     [classes]float64     // of the demand that is admitted
-	queues       [classes]division
-	groups       map[string]*division // by the name of the queue
-	meanNeeds    float64              // of a task, in thousandths of a core
-	utilisation  float64              // share of the capacity that the admitted demand may take
-	firstAgentAt time.Time            // when the first worker of the service was known
-	updatedAt    time.Time
-	peakSince    time.Time      // since when jobs have been deferred or refused without a break; zero if none are
-	lastExcess   time.Time      // when the demand was last far above the capacity
-	spare        float64        // work of deferred jobs that may begin
-	deferred     []*Job         // jobs that arrived in excess, in this order
-	refused      [classes]int64 // number of jobs
+	demand      [classes]decayedRate // at this entry, in thousandths of a core times milliseconds
+	total       [classes]float64     // at all entries, in thousandths of a core
+	capacity    float64              // of all workers, in thousandths of a core
+	fraction    [classes]float64     // of the demand that is admitted
+	queues      [classes]division
+	groups      map[string]*division // by the name of the queue
+	meanNeeds   float64              // of a task, in thousandths of a core
+	utilisation float64              // share of the capacity that the admitted demand may take
+	updatedAt   time.Time
+	peakSince   time.Time      // since when jobs have been deferred or refused without a break; zero if none are
+	lastExcess  time.Time      // when the demand was last far above the capacity
+	spare       float64        // work of deferred jobs that may begin
+	deferred    []*Job         // jobs that arrived in excess, in this order
+	refused     [classes]int64 // number of jobs
 }
 
 // division divides what is admitted of a demand among members, which are queues or groups of a queue. Each member that is
@@ -298,13 +297,10 @@
 	room := 1.0
 	if slots > 0 {
 		room = free / slots
-		if shares.firstAgentAt.IsZero() {
-			shares.firstAgentAt = now
-		}
 	}
 	shares.adjustUtilisation(room, s.longestFirstWait(now, service), min(max(elapsed, 0), maxSharesInterval))
-	// A new entry is linked to a few of the agents that its callers' demand goes to.
-	shares.divide(now, room >= ampleRoom || now.Sub(shares.firstAgentAt) < settledAfter)
+	// A new entry is linked to few of the agents at first.
+	shares.divide(now, room >= ampleRoom || now.Sub(s.firstWorkerAt) < settledAfter)
 	shares.recordPeak(now)
 	s.handleDeferred(now, shares, min(max(elapsed, 0), maxSharesInterval))
 }
