--- a/internal/jobentry/agents.go
+++ b/internal/jobentry/agents.go
@@ -27,6 +27,7 @@
 		c.reportAgentLost(now, a, "a newer link is open")
 		old.Close(link.ErrClosed)
 	}
+	a.dataCentre, a.demandSentAt = hello.DataCentre, time.Time{}
 	sameProcess := a.incarnation == hello.Incarnation
 	a.link, a.incarnation, a.lastReceivedAt, a.lastReceivedMicros = e.link, hello.Incarnation, now, 0
 	a.catalogVersion, a.pending, a.echoSentAt, a.idleEndedAt = 0, wire.Offers{}, time.Time{}, time.Time{}
--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -85,6 +85,7 @@
 	id                 scheduler.AgentID
 	link               *link.Link // nil while the agent is out of contact
 	incarnation        uint64
+	dataCentre         string
 	lastReceivedAt     time.Time // when the last message arrived
 	lastReceivedMicros int64     // SentMicros of the agent's last message, to be echoed
 	echoSentAt         time.Time // when the last message with an echo was sent
@@ -186,6 +187,7 @@
 		if o.Offer != nil {
 			a.pending.Offers = append(a.pending.Offers, *o.Offer)
 			c.entry.options.Metrics.OffersMade.Add(1)
+			c.entry.options.Metrics.OffersTo.Add(a.dataCentre, 1)
 		} else {
 			a.pending.Withdraw = append(a.pending.Withdraw, o.Withdraw)
 		}
--- a/internal/jobentry/metrics.go
+++ b/internal/jobentry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"sync/atomic"
 	"time"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/metrics"
@@ -17,6 +18,10 @@
 	Complete, Failed, NotRun, GivenUp, CallersLeft expvar.Int
 	// Refusals counts answers of NotRun by reason.
 	Refusals expvar.Map
+	// OffersTo counts offers by the data centre of the worker.
+	OffersTo expvar.Map
+	// Shares is the last known state of the admission to each service.
+	Shares atomic.Pointer[[]scheduler.ShareSummary]
 	// AnswerMillis is the distribution of the time from arrival to answer of complete jobs, in milliseconds.
 	AnswerMillis *metrics.Histogram
 	// OfferMillis is the distribution of the time from arrival to the first offer, in milliseconds.
@@ -38,6 +43,8 @@
 	vars.Set("jobs_not_run", &m.NotRun)
 	vars.Set("jobs_given_up", &m.GivenUp)
 	vars.Set("refusals", &m.Refusals)
+	vars.Set("offers_to", &m.OffersTo)
+	vars.Set("shares", expvar.Func(func() any { return m.Shares.Load() }))
 	vars.Set("callers_left", &m.CallersLeft)
 	vars.Set("answer_ms", m.AnswerMillis)
 	vars.Set("first_offer_ms", m.OfferMillis)
--- a/internal/jobentry/shares.go
+++ b/internal/jobentry/shares.go
@@ -28,7 +28,9 @@
 		return
 	}
 	c.sharesCheckedAt = now
-	for _, s := range c.scheduler.Shares() {
+	shares := c.scheduler.Shares()
+	c.entry.options.Metrics.Shares.Store(&shares)
+	for _, s := range shares {
 		if c.peaks[s.Service] == nil {
 			c.peaks[s.Service] = new(peak)
 		}
--- a/internal/scheduler/shares.go
+++ b/internal/scheduler/shares.go
@@ -32,6 +32,8 @@
 	memberWindow = time.Second
 	// sharesInterval is the interval at which the shares are computed. Load reports arrive at most as often.
 	sharesInterval = 20 * time.Millisecond
+	// idleDivideInterval is the interval at which queues and groups are tidied up while no job is refused.
+	idleDivideInterval = time.Second
 	// maxSharesInterval bounds the time for which one correction of the utilisation counts, after a pause of the process.
 	maxSharesInterval = 100 * time.Millisecond
 
@@ -88,7 +90,8 @@
 	meanNeeds   float64              // of a task, in thousandths of a core
 	utilisation float64              // share of the capacity that the admitted demand may take
 	updatedAt   time.Time
-	peakSince   time.Time      // since when jobs have been deferred or refused without a break; zero if none are
+	dividedAt   time.Time      // when queues and groups were last divided
+	peakSince   time.Time      // since when there has been a peak; zero if there is none
 	lastExcess  time.Time      // when the demand was last far above the capacity
 	spare       float64        // work of deferred jobs that may begin
 	deferred    []*Job         // jobs that arrived in excess, in this order
@@ -343,6 +346,12 @@
 		if !admitAll {
 			shares.fraction[class] = fractionOf(entitled, shares.total[class])
 		}
+	}
+	if !shares.refuses() && now.Sub(shares.dividedAt) < idleDivideInterval {
+		return // no member's fraction is used
+	}
+	shares.dividedAt = now
+	for class := range shares.queues {
 		shares.queues[class].divide(now, shares.fraction[class])
 	}
 	for name, groups := range shares.groups {
