--- a/internal/jobentry/metrics.go
+++ b/internal/jobentry/metrics.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootspur/coltsfootspur/internal/catalogsync"
+	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/metrics"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
 )
@@ -22,6 +24,14 @@
 	OffersTo expvar.Map
 	// Shares is the last known state of the admission to each service.
 	Shares atomic.Pointer[[]scheduler.ShareSummary]
+	// MalformedConfigurations counts values of the operator's key that were ignored.
+	MalformedConfigurations expvar.Int
+	// Catalog counts transfers of the configuration.
+	Catalog catalogsync.Metrics
+	// EvacuationChanges counts changes of the set of evacuated data centres, EvacuationKeysInvalid the invalid keys that request
+	// an evacuation in the store, each once for each of its revisions.
+	EvacuationChanges, EvacuationKeysInvalid expvar.Int
+	evacuation                               atomic.Pointer[evacuation.Summary]
 	// AnswerMillis is the distribution of the time from arrival to answer of complete jobs, in milliseconds.
 	AnswerMillis *metrics.Histogram
 	// OfferMillis is the distribution of the time from arrival to the first offer, in milliseconds.
@@ -30,7 +40,9 @@
 
 // NewMetrics returns metrics at zero.
 func NewMetrics() *Metrics {
-	return &Metrics{AnswerMillis: metrics.NewHistogram(), OfferMillis: metrics.NewHistogram()}
+	m := &Metrics{AnswerMillis: metrics.NewHistogram(), OfferMillis: metrics.NewHistogram()}
+	m.setEvacuation(evacuation.Summary{DataCentres: []evacuation.DataCentre{}})
+	return m
 }
 
 // Vars returns the metrics under the names by which they are published.
@@ -46,11 +58,18 @@
 	vars.Set("offers_to", &m.OffersTo)
 	vars.Set("shares", expvar.Func(func() any { return m.Shares.Load() }))
 	vars.Set("callers_left", &m.CallersLeft)
+	vars.Set("malformed_configurations", &m.MalformedConfigurations)
+	m.Catalog.AddTo(vars)
+	vars.Set("evacuation", expvar.Func(func() any { return m.evacuation.Load() }))
+	vars.Set("evacuation_changes", &m.EvacuationChanges)
+	vars.Set("evacuation_keys_invalid", &m.EvacuationKeysInvalid)
 	vars.Set("answer_ms", m.AnswerMillis)
 	vars.Set("first_offer_ms", m.OfferMillis)
 	return vars
 }
 
+func (m *Metrics) setEvacuation(s evacuation.Summary) { m.evacuation.Store(&s) }
+
 func (m *Metrics) recordAnswer(a scheduler.Answer, now time.Time) {
 	if !a.Job.FirstOffer.IsZero() {
 		m.OfferMillis.Observe(a.Job.FirstOffer.Sub(a.Job.Arrived).Milliseconds())
--- a/internal/scheduler/shares.go
+++ b/internal/scheduler/shares.go
@@ -287,7 +287,7 @@
 	shares.capacity = 0
 	free, slots := 0.0, 0.0
 	for _, a := range s.agentList {
-		if !a.linked || !a.hasLoad || !a.load.Open || a.worker.Service != service {
+		if !a.linked || !a.hasLoad || !a.load.Open || s.isEvacuated(a) || a.worker.Service != service {
 			continue
 		}
 		shares.capacity += float64(a.worker.MilliCPU) / a.slowdown()
