--- a/internal/runs/longruns.go
+++ b/internal/runs/longruns.go
@@ -17,6 +17,9 @@
 	minLongRunShare = 0.3
 	// minLongRunAge is the shortest time after which the progress of a run is known well enough. Snapshots are taken every 40 ms.
 	minLongRunAge = 20 * time.Millisecond
+	// maxSnapshotGap is the time between two snapshots from which the worker or the agent was paused. The pace of a run is not
+	// known then.
+	maxSnapshotGap = 100 * time.Millisecond
 	// minRepeatedRuns is the weighted number of later attempts from which the share of long ones among them counts; five recent
 	// ones have it.
 	minRepeatedRuns = 4
@@ -56,7 +59,7 @@
 		return
 	}
 	for _, r := range t.active {
-		if r.state != running || r.withdrawn || r.measuredAt != now || r.offer.EstimateMillis <= 0 {
+		if r.state != running || r.withdrawn || r.measuredAt != now || r.intervalTime > maxSnapshotGap || r.offer.EstimateMillis <= 0 {
 			continue
 		}
 		expected := time.Duration(float64(r.offer.EstimateMillis) * t.expectedSlowdown() * float64(time.Millisecond))
@@ -64,10 +67,17 @@
 		if elapsed < max(time.Duration(minLongRunShare*float64(expected)), minLongRunAge) {
 			continue
 		}
-		total := elapsed * 100 / time.Duration(r.percent+1) // the percentage is rounded down
-		r.isLong = float64(total) > longRunFactor*float64(expected)
-		if r.isLong && r.offer.Attempt <= 1 && total-elapsed > expected+migrationCost && t.longRuns.movesHelp() {
+		remaining := r.remaining(elapsed)
+		r.isLong = float64(elapsed+remaining) > longRunFactor*float64(expected)
+		if r.isLong && r.offer.Attempt <= 1 && remaining > expected+migrationCost && t.longRuns.movesHelp() {
 			t.stopRun(now, r, longRunReason)
 		}
 	}
 }
+
+// remaining returns the expected remaining time by the progress since the start or since the last snapshot, whichever is
+// faster: a run that was paused with its worker is not a long one. Percentages are rounded down.
+func (r *run) remaining(elapsed time.Duration) time.Duration {
+	left := time.Duration(100 - r.percent)
+	return min(elapsed*left/time.Duration(r.percent+1), r.intervalTime*left/time.Duration(r.intervalPercent+1))
+}
--- a/internal/runs/longruns_test.go
+++ b/internal/runs/longruns_test.go
@@ -60,6 +60,28 @@
 	g.Expect(l.isStopped(2, 6)).To(gomega.BeFalse())
 }
 
+// Guards against moving the runs of a worker that was paused for a moment.
+func TestRunsOfAPausedWorkerAreNotLong(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLongRunTable()
+	l.table.AddOffer(l.now, 1, wire.Offer{
+		Number: 1, Job: "j", Attempt: 1, Service: "bench", MilliCPU: 1000, EstimateMillis: 200, SlackMillis: 100, BudgetMillis: 5000,
+	})
+	commands, _ := l.table.TakeOutput()
+	l.table.HandleStartResult(l.now, commands[0].Ref, nil)
+	for _, step := range []struct {
+		after   time.Duration
+		percent int
+	}{{110, 10}, {40, 25}, {40, 45}} {
+		l.now = l.now.Add(step.after * time.Millisecond)
+		l.table.HandleSnapshot(l.now, l.now, runs.Snapshot{
+			StartedMillis: 1, Clock: time.Second, Running: []runs.Running{{Ref: commands[0].Ref, Percent: step.percent}},
+		})
+		stops, _ := l.table.TakeOutput()
+		g.Expect(stops).To(gomega.BeEmpty())
+	}
+}
+
 // Guards against wasting the work of tasks that take long on every worker.
 func TestLongTasksAreNotMoved(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/runs/results.go
+++ b/internal/runs/results.go
@@ -170,6 +170,7 @@
 	}
 	elapsed = float64(now.Sub(r.measuredAt)) / float64(time.Millisecond)
 	r.measuredAt = now
+	r.intervalTime, r.intervalPercent = time.Duration(elapsed*float64(time.Millisecond)), max(listed.Percent-r.percent, 0)
 	return float64(max(listed.Percent-r.percent, 0)) / 100 * float64(r.offer.EstimateMillis), elapsed
 }
 
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -76,6 +76,9 @@
 	withdrawn  bool
 	// mayHaveRun is set if an earlier incarnation of the worker may have started the run.
 	mayHaveRun bool
+	// intervalTime is the time between the last two snapshots of the run, intervalPercent its progress meanwhile.
+	intervalTime    time.Duration
+	intervalPercent int
 	// isLong is set while the progress of the run shows that it takes several times its estimate.
 	isLong bool
 	// confirmedAt is when an answer to the start, or a snapshot, first showed the run on the worker.
