--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/url"
 
+	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/agent"
@@ -81,7 +82,11 @@
 	s := &agentSettings{set: c.settings}
 	s.register()
 	c.run = s.run
-	c.platformMode = newPlatformMode(c.settings, &s.log, platform.RunAgent)
+	role := &platform.AgentRole{}
+	c.settings.Bool(&role.MoveLongRuns, "move-long-runs", false,
+		"with --platform: start a task again elsewhere if its run takes several times its estimate")
+	run := func(ctx context.Context, path string, logger log.Interface) error { return role.Run(ctx, path, logger) }
+	c.platformMode = newPlatformMode(c.settings, &s.log, run, "move-long-runs")
 	return c
 }
 
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"github.com/coltsfootspur/coltsfootspur/internal/entry"
@@ -15,7 +16,11 @@
 	s := &entrySettings{set: c.settings}
 	s.register()
 	c.run = s.run
-	c.platformMode = newPlatformMode(c.settings, &s.log, platform.RunEntry)
+	role := &platform.EntryRole{}
+	c.settings.Bool(&role.AdmitByShares, "admit-by-shares", false,
+		"with --platform: refuse jobs by entitled shares while the demand exceeds the capacity")
+	run := func(ctx context.Context, path string, logger log.Interface) error { return role.Run(ctx, path, logger) }
+	c.platformMode = newPlatformMode(c.settings, &s.log, run, "admit-by-shares")
 	return c
 }
 
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -13,24 +13,25 @@
 )
 
 // platformMode runs a role on the users' platform (see package platform). The settings then come from the platform's
-// settings file; of the role's own settings only those of the log apply.
+// settings file; of the role's own settings only those of the log and flags apply.
 type platformMode struct {
 	set     *settings.Set
 	log     *logSettings
 	run     func(ctx context.Context, path string, logger log.Interface) error
+	flags   []string // names of the settings that belong to the mode
 	enabled bool
 }
 
-func newPlatformMode(set *settings.Set, l *logSettings, run func(context.Context, string, log.Interface) error) *platformMode {
-	m := &platformMode{set: set, log: l, run: run}
+func newPlatformMode(set *settings.Set, l *logSettings, run func(context.Context, string, log.Interface) error, flags ...string) *platformMode {
+	m := &platformMode{set: set, log: l, run: run, flags: flags}
 	set.Bool(&m.enabled, "platform", false,
 		"run on the users' platform, with the settings file that "+platform.SettingsPathVariable+" names")
 	return m
 }
 
-// resolveEnabled resolves the settings platform, log-level and log-format, and reports whether the mode is enabled.
+// resolveEnabled resolves the settings platform, log-level, log-format and flags, and reports whether the mode is enabled.
 func (m *platformMode) resolveEnabled(lookupEnv func(string) (string, bool)) (bool, error) {
-	err := m.set.ResolveOnly(lookupEnv, "platform", "log-level", "log-format")
+	err := m.set.ResolveOnly(lookupEnv, append([]string{"platform", "log-level", "log-format"}, m.flags...)...)
 	return m.enabled, err
 }
 
--- a/internal/jobentry/agents.go
+++ b/internal/jobentry/agents.go
@@ -28,6 +28,7 @@
 		c.reportAgentLost(now, a, "a newer link is open")
 		old.Close(link.ErrClosed)
 	}
+	a.dataCentre, a.demandSentAt = hello.DataCentre, time.Time{}
 	sameProcess := a.incarnation == hello.Incarnation
 	a.link, a.incarnation, a.lastReceivedAt, a.lastReceivedMicros = e.link, hello.Incarnation, now, 0
 	a.pending, a.echoSentAt, a.idleEndedAt = wire.Offers{}, time.Time{}, time.Time{}
@@ -103,11 +104,11 @@
 		if since := now.Sub(a.echoSentAt); since < runs.HeartbeatInterval || !a.busy && since < idleInterval {
 			continue
 		}
-		a.echoSentAt = now
+		a.echoSentAt, a.demandSentAt = now, now
 		c.send(a, &wire.Heartbeat{
 			SentMicros: clock.BootMicros(now), LastReceivedMicros: a.lastReceivedMicros, CatalogVersion: catalog.VersionOf(c.entry.Catalog()),
 			LoadIntervalMillis: uint32(len(c.agents)) * 1000 / maxLoadReportsPerSecond,
-			IdleIntervalMillis: uint32(idleInterval.Milliseconds()), EvacuationRevision: c.evacuation.State().Revision,
+			Demand:             c.scheduler.Demand(now, a.id), IdleIntervalMillis: uint32(idleInterval.Milliseconds()), EvacuationRevision: c.evacuation.State().Revision,
 		})
 	}
 }
--- a/internal/jobentry/control.go
+++ b/internal/jobentry/control.go
@@ -10,6 +10,7 @@
 	"github.com/coltsfootspur/coltsfootspur/internal/clock"
 	"github.com/coltsfootspur/coltsfootspur/internal/evacuation"
 	"github.com/coltsfootspur/coltsfootspur/internal/link"
+	"github.com/coltsfootspur/coltsfootspur/internal/runs"
 	"github.com/coltsfootspur/coltsfootspur/internal/scheduler"
 	"github.com/coltsfootspur/coltsfootspur/internal/wire"
 )
@@ -71,6 +72,9 @@
 	jobQueries map[uint64]chan<- *wire.JobReply
 	// refusingJobs is true at the end of a planned stop: new jobs are answered with NotRun.
 	refusingJobs bool
+	// peaks holds, for each service, whether jobs are refused by share; sharesCheckedAt is when that was last looked at.
+	peaks           map[string]*peak
+	sharesCheckedAt time.Time
 }
 
 // agentConn is the state of the connection to one agent.
@@ -78,20 +82,24 @@
 	id                 scheduler.AgentID
 	link               *link.Link // nil while the agent is out of contact
 	incarnation        uint64
+	dataCentre         string
 	lastReceivedAt     time.Time // when the last message arrived
 	lastReceivedMicros int64     // SentMicros of the agent's last message, to be echoed
 	echoSentAt         time.Time // when the last message with an echo was sent
 	// busy is true while the entry has open offers at the agent; idleEndedAt is when it made the first one after an idle time.
-	busy        bool
-	idleEndedAt time.Time
-	pending     wire.Offers
-	evacuation  evacuation.Peer
+	busy         bool
+	idleEndedAt  time.Time
+	pending      wire.Offers
+	evacuation   evacuation.Peer
+	demandSentAt time.Time // when the last message with the demand of this entry was sent
 }
 
 func newControl(e *Entry) *control {
+	config := scheduler.DefaultConfig(e.options.DataCentre)
+	config.AdmitByShares = e.options.AdmitByShares
 	c := &control{
-		entry: e, log: e.options.Log, agents: make(map[scheduler.AgentID]*agentConn), jobQueries: make(map[uint64]chan<- *wire.JobReply),
-		scheduler: scheduler.New(scheduler.DefaultConfig(e.options.DataCentre)), catalogs: newCatalogState(e.options.CatalogBytesPerSecond),
+		entry: e, log: e.options.Log, agents: make(map[scheduler.AgentID]*agentConn), jobQueries: make(map[uint64]chan<- *wire.JobReply), peaks: make(map[string]*peak),
+		scheduler: scheduler.New(config), catalogs: newCatalogState(e.options.CatalogBytesPerSecond),
 	}
 	c.scheduler.SetDataCentres(e.options.DataCentres)
 	return c
@@ -157,6 +165,7 @@
 	c.sendChunks(now)
 	if checkLinks {
 		c.sendHeartbeats(now)
+		c.logShares(now)
 		c.sendEvacuations(now)
 		c.entry.allEvacuated.Store(c.scheduler.AllEvacuated())
 		c.entry.availableAgents.Store(int64(c.scheduler.AvailableAgents("")))
@@ -182,6 +191,7 @@
 		if o.Offer != nil {
 			a.pending.Offers = append(a.pending.Offers, *o.Offer)
 			c.entry.options.Metrics.recordOffer(o)
+			c.entry.options.Metrics.OffersTo.Add(a.dataCentre, 1)
 		} else {
 			a.pending.Withdraw = append(a.pending.Withdraw, o.Withdraw)
 		}
@@ -203,6 +213,9 @@
 		a.idleEndedAt = now
 	}
 	a.busy = c.scheduler.HasOpenOffers(a.id)
+	if now.Sub(a.demandSentAt) >= runs.HeartbeatInterval {
+		a.demandSentAt, m.Demand = now, c.scheduler.Demand(now, a.id)
+	}
 	for _, part := range splitOffers(m) {
 		c.send(a, &part)
 	}
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -56,6 +56,8 @@
 	CatalogBytesPerSecond float64
 	Log                   log.Interface
 	Clock                 clock.Clock
+	// AdmitByShares is that of scheduler.Config.
+	AdmitByShares bool
 	// Metrics are updated by the entry; nil means that they are not published.
 	Metrics *Metrics
 	// LinkPort bounds connections at LinkAddress until they are links; nil means the defaults of a process.
--- a/internal/jobentry/metrics.go
+++ b/internal/jobentry/metrics.go
@@ -22,6 +22,12 @@
 	Reservations expvar.Int
 	// WaitMillis is, for each scheduler.SizeClass, the distribution of the time that tasks wait at the entry, in milliseconds.
 	WaitMillis [3]*metrics.Histogram
+	// Refusals counts answers of NotRun by reason.
+	Refusals expvar.Map
+	// OffersTo counts offers by the data centre of the worker.
+	OffersTo expvar.Map
+	// Shares is the last known state of the admission to each service.
+	Shares atomic.Pointer[[]scheduler.ShareSummary]
 	// MalformedConfigurations counts values of the operator's key that were ignored.
 	MalformedConfigurations expvar.Int
 	// Catalog counts transfers of the configuration.
@@ -55,6 +61,9 @@
 	vars.Set("jobs_failed", &m.Failed)
 	vars.Set("jobs_not_run", &m.NotRun)
 	vars.Set("jobs_given_up", &m.GivenUp)
+	vars.Set("refusals", &m.Refusals)
+	vars.Set("offers_to", &m.OffersTo)
+	vars.Set("shares", expvar.Func(func() any { return m.Shares.Load() }))
 	vars.Set("callers_left", &m.CallersLeft)
 	vars.Set("reservations", &m.Reservations)
 	vars.Set("wait_small_ms", m.WaitMillis[scheduler.SmallTask])
@@ -92,6 +101,9 @@
 		m.Failed.Add(1)
 	case scheduler.NotRun, scheduler.Invalid, scheduler.Unreachable:
 		m.NotRun.Add(1)
+		if a.Outcome == scheduler.NotRun {
+			m.Refusals.Add(a.Reason, 1)
+		}
 	default:
 		m.GivenUp.Add(1)
 	}
--- a/internal/jobentry/queries.go
+++ b/internal/jobentry/queries.go
@@ -69,6 +69,7 @@
 	Open    int                      `json:"open_jobs"`
 	Waiting int                      `json:"waiting_tasks"`
 	Agents  []scheduler.AgentSummary `json:"agents"`
+	Shares  []scheduler.ShareSummary `json:"shares"`
 	// Evacuation holds the evacuated data centres.
 	Evacuation evacuation.Summary `json:"evacuation"`
 }
@@ -77,7 +78,7 @@
 func (e *Entry) Dump(ctx context.Context) (State, bool) {
 	s := make(chan State, 1)
 	ok := e.runInControl(ctx, func(c *control, _ time.Time) {
-		state := State{ID: e.options.ID, Open: c.scheduler.OpenJobs(), Waiting: c.scheduler.WaitingTasks(), Agents: c.scheduler.Agents(), Evacuation: c.evacuation.Summary()}
+		state := State{ID: e.options.ID, Open: c.scheduler.OpenJobs(), Waiting: c.scheduler.WaitingTasks(), Agents: c.scheduler.Agents(), Shares: c.scheduler.Shares(), Evacuation: c.evacuation.Summary()}
 		if config := e.Catalog(); config != nil {
 			state.Catalog = config.Version
 		}
--- a/internal/runs/results.go
+++ b/internal/runs/results.go
@@ -108,6 +108,7 @@
 	}
 	t.recent.observe(now, work, elapsed)
 	t.stopSlowRuns(now)
+	t.stopLongRuns(now)
 	for ref := range t.orphans {
 		if !listed[ref] {
 			delete(t.orphans, ref)
@@ -139,6 +140,7 @@
 			t.learned.learn(time.Duration(r.offer.EstimateMillis)*time.Millisecond, now.Sub(r.startedAt))
 		}
 		t.health.recordSuccess(r.startedAt)
+		t.longRuns.recordDone(r)
 		t.endOffer(now, r, wire.RunDone, "")
 	case EndFailed:
 		t.recordFailure(now, r)
@@ -168,6 +170,7 @@
 	}
 	elapsed = float64(now.Sub(r.measuredAt)) / float64(time.Millisecond)
 	r.measuredAt = now
+	r.intervalTime, r.intervalPercent = time.Duration(elapsed*float64(time.Millisecond)), max(listed.Percent-r.percent, 0)
 	return float64(max(listed.Percent-r.percent, 0)) / 100 * float64(r.offer.EstimateMillis), elapsed
 }
 
--- a/internal/runs/table.go
+++ b/internal/runs/table.go
@@ -28,6 +28,9 @@
 	StallBackoff time.Duration
 	// FailureBackoff is the same for a worker whose runs fail consecutively.
 	FailureBackoff time.Duration
+	// MoveLongRuns stops a first attempt whose progress shows that it takes several times its estimate, so that the task is
+	// started again on another worker.
+	MoveLongRuns bool
 }
 
 // DefaultConfig returns the parameters for tasks that take less than a second.
@@ -75,6 +78,11 @@
 	withdrawn  bool
 	// mayHaveRun is set if an earlier incarnation of the worker may have started the run.
 	mayHaveRun bool
+	// intervalTime is the time between the last two snapshots of the run, intervalPercent its progress meanwhile.
+	intervalTime    time.Duration
+	intervalPercent int
+	// isLong is set while the progress of the run shows that it takes several times its estimate.
+	isLong bool
 	// confirmedAt is when an answer to the start, or a snapshot, first showed the run on the worker.
 	confirmedAt time.Time
 	// firstStopAt and stopSentAt are when the first and the last of the stops was sent, stopAnsweredAt when the first answer to
@@ -152,6 +160,7 @@
 	recent           recentSlowdown
 	health           health
 	lookahead        Lookahead
+	longRuns         longRuns
 
 	commands []Command
 	events   []RunEvent
@@ -486,7 +495,7 @@
 func (t *Table) startRun(now time.Time, r *run) {
 	r.ref.Attempt = t.highestAttempts.next(r.ref.Task, r.offer.Attempt)
 	r.state, r.startedAt, r.progressedAt, r.measuredAt, r.stopAnsweredAt, r.percent = starting, now, now, now, time.Time{}, 0
-	r.mayHaveRun, r.confirmedAt, r.stopsSent = false, time.Time{}, 0
+	r.mayHaveRun, r.isLong, r.confirmedAt, r.stopsSent = false, false, time.Time{}, 0
 	t.active[r.ref] = r
 	t.used = t.used.Add(r.needs)
 	t.commands = append(t.commands, Command{Ref: r.ref, Payload: r.offer.Payload, Worker: t.announcement.ID})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,11 @@
 	NoAgentTimeout time.Duration
 	// Placement is the rule by which waiting tasks are placed. It is the same at entries and agents.
 	Placement runs.Placement
+	// AdmitByShares refuses jobs on arrival while the demand exceeds the capacity of their service, by the shares that their
+	// classes, queues and groups are entitled to.
+	AdmitByShares bool
+	// ShareByGroup divides the share of a queue among the groups of jobs with the same payload. It needs AdmitByShares.
+	ShareByGroup bool
 }
 
 // DefaultConfig returns the parameters for tasks that take less than a second.
@@ -55,6 +60,7 @@
 		// Agents link to a new entry within 100 ms, and an entry that is cut off loses them within 400 ms.
 		NoAgentTimeout: 250 * time.Millisecond,
 		Placement:      runs.DefaultPlacement,
+		ShareByGroup:   true,
 	}
 }
 
@@ -175,6 +181,7 @@
 	offers     map[uint64]*task
 	agents     map[AgentID]*agent
 	shortWaits shortWaitShares
+	shares     map[string]*serviceShares
 	agentList  []*agent
 	lastOffer  uint64
 	// changedSincePass is true when something has changed since lastPass, the time of the last pass over the waiting tasks.
@@ -183,6 +190,7 @@
 	lastSweep        time.Time // when the deadlines of all jobs were last checked
 	backlog          backlog
 	workerAddedAt    time.Time // when an agent last reported a new worker or a new incarnation of one
+	firstWorkerAt    time.Time // when an agent first reported a worker
 	evacuation       evacuationState
 
 	outgoing []AgentMessage
@@ -194,6 +202,7 @@
 	return &Scheduler{
 		waiting: waitingQueue{largestFirst: config.Placement == runs.PlaceBySize},
 		config:  config, jobs: make(map[string]*Job), offers: make(map[uint64]*task), agents: make(map[AgentID]*agent), shortWaits: make(shortWaitShares),
+		shares: make(map[string]*serviceShares),
 	}
 }
 
@@ -229,8 +238,15 @@
 	j.chainTimes = chainTimes(j.Spec.Steps)
 	j.objective = time.Duration(j.Queue.ObjectiveFactor*float64(slices.Max(j.chainTimes))) + j.Queue.ObjectiveExtra
 	s.backlog.recordJob(now, j)
-	s.enqueueReadyTasks(j)
-	if !s.refuseUnfit(now, j) {
+	isAdmitted := !s.config.AdmitByShares || s.admits(now, j)
+	if isAdmitted {
+		s.enqueueReadyTasks(j)
+	}
+	switch {
+	case s.refuseUnfit(now, j):
+	case !isAdmitted:
+		s.deferOrRefuse(now, j)
+	default:
 		s.assign(now)
 	}
 	return nil
@@ -404,6 +420,9 @@
 		s.lastSweep = now
 		s.sweep(now)
 	}
+	for service, shares := range s.shares {
+		s.updateShares(now, service, shares)
+	}
 	s.assign(now)
 }
 
--- a/internal/wire/runs.go
+++ b/internal/wire/runs.go
@@ -73,6 +73,9 @@
 	// EndsIdle is set when the entry had no open offer on the link before this message. The agent then measures the time
 	// without contact from this message on, because the last echo can be older than that.
 	EndsIdle bool `cbor:"7,keyasint,omitempty"`
+	// Demand is the work of the jobs of the receiver's service that arrive at the sender, by priority, in thousandths of a core.
+	// The last element includes all remaining priorities. Empty means that it has not changed much.
+	Demand []int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // RunEnd reports the end of one offer.
@@ -124,6 +127,9 @@
 	Free []FreeStep `cbor:"10,keyasint,omitempty"`
 	// Reservations is the number of reservations that the agent holds for all entries.
 	Reservations int `cbor:"11,keyasint,omitempty"`
+	// Demand is the work of the arriving jobs of the worker's service at all entries together, by priority, in thousandths of a
+	// core. The last element includes all remaining priorities.
+	Demand []int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // FreeStep is the free CPU of a worker from a time on until the next step. It is encoded as an array.
@@ -158,6 +164,8 @@
 	// IdleIntervalMillis is the interval in milliseconds of heartbeats on the link while the entry has no open offer on it.
 	// An entry sets it.
 	IdleIntervalMillis uint32 `cbor:"5,keyasint,omitempty"`
+	// Demand is the same as in Offers, but empty means none. An entry sets it.
+	Demand []int64 `cbor:"12,keyasint,omitempty"`
 	// EvacuationRevision is the revision of the Evacuations that the sender holds, 0 if it knows none.
 	EvacuationRevision uint64 `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -50,6 +50,8 @@
 	Log         log.Interface
 	Clock       clock.Clock
 	Dialer      link.Dialer
+	// MoveLongRuns is that of runs.Config.
+	MoveLongRuns bool
 	// Metrics are updated by the agent; nil means that they are not published.
 	Metrics *Metrics
 }
