--- a/internal/evacuation/request.go
+++ b/internal/evacuation/request.go
@@ -18,8 +18,10 @@
 
 // ValidRequests returns the data centres of the valid requests, sorted, and an ErrInvalidRequest for each other one. values maps
 // the name of the data centre in a request to the value of the request, which has to be a JSON object. known holds the data
-// centres of the deployment; if it is empty, every name is valid, because the settings name none.
-func ValidRequests(values map[string][]byte, known []string) (dataCentres []string, invalid map[string]error) {
+// centres of the deployment; if it is empty, every name is valid, because the settings name none. inForce holds the data centres
+// that are evacuated: a request for one of them that was overwritten with an invalid value still holds, because only its removal
+// ends it.
+func ValidRequests(values map[string][]byte, known, inForce []string) (dataCentres []string, invalid map[string]error) {
 	names := make([]string, 0, len(values))
 	for name := range values {
 		names = append(names, name)
@@ -29,7 +31,9 @@
 	for _, name := range names {
 		if err := checkRequest(name, values[name], known); err != nil {
 			invalid[name] = err
-			continue
+			if !slices.Contains(inForce, name) {
+				continue
+			}
 		}
 		if len(dataCentres) == maxDataCentres {
 			invalid[name] = eris.Wrapf(ErrInvalidRequest, "there are more than %d requests", maxDataCentres)
