--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -75,7 +75,7 @@
 		return unreadable("the configuration to compare with", err)
 	}
 	if earlier != nil {
-		result.Against, result.Changes = earlier.Version, configcheck.Compare(earlier, config)
+		result.Against, result.Changes = earlier.Version, configcheck.Compare(earlier, config, platform.ConfigurationFieldNames)
 		if config.Version <= earlier.Version {
 			result.Findings = append(result.Findings, configcheck.Finding{
 				Where: "Version", Reason: fmt.Sprintf("%d is not above %d, so no process replaces that one by it", config.Version, earlier.Version),
--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -117,14 +117,18 @@
 	Detail string `json:"detail,omitempty"`
 }
 
+// FieldNames maps the names of fields of the catalog to their names in the operator's file. A field without an entry has the same
+// name in both.
+type FieldNames map[string]string
+
 // Compare returns what differs from an earlier configuration, by the names of queues and services.
-func Compare(before, after *catalog.Catalog) []Change {
-	changes := compareByName("route", before.Queues, after.Queues, func(q catalog.Queue) string { return q.Name }, queueFields)
+func Compare(before, after *catalog.Catalog, names FieldNames) []Change {
+	changes := compareByName("route", before.Queues, after.Queues, func(q catalog.Queue) string { return q.Name }, queueFields, names)
 	return append(changes, compareByName("service", before.Services, after.Services, func(s catalog.Service) string { return s.Name },
-		func(s catalog.Service) []field { return []field{{"EnforcesCapacity", s.Guarded}} })...)
+		func(s catalog.Service) []field { return []field{{"Guarded", s.Guarded}} }, names)...)
 }
 
-// field is a field of a queue or service under its name in the file.
+// field is a field of a queue or service under its name in the catalog. Durations are in milliseconds.
 type field struct {
 	name  string
 	value any
@@ -137,14 +141,14 @@
 		{"Service", q.Service},
 		{"Priority", q.Priority},
 		{"MaxAttempts", q.MaxAttempts},
-		{"TimeoutMs", q.Timeout.Milliseconds()},
-		{"TargetFactor", q.ObjectiveFactor},
-		{"TargetLatencyMs", q.ObjectiveExtra.Milliseconds()},
+		{"Timeout", q.Timeout.Milliseconds()},
+		{"ObjectiveFactor", q.ObjectiveFactor},
+		{"ObjectiveExtra", q.ObjectiveExtra.Milliseconds()},
 	}
 }
 
 // compareByName compares two lists. Of several elements with one name, the first of each list is compared.
-func compareByName[T any](what string, before, after []T, name func(T) string, fields func(T) []field) []Change {
+func compareByName[T any](what string, before, after []T, name func(T) string, fields func(T) []field, fieldNames FieldNames) []Change {
 	index := func(list []T) (map[string]T, []string) {
 		byName, names := make(map[string]T, len(list)), make([]string, 0, len(list))
 		for _, e := range list {
@@ -172,7 +176,11 @@
 		earlier := fields(was)
 		for i, f := range fields(current[n]) {
 			if earlier[i].value != f.value {
-				details = append(details, fmt.Sprintf("%s %v, was %v", f.name, f.value, earlier[i].value))
+				name := f.name
+				if inFile, ok := fieldNames[name]; ok {
+					name = inFile
+				}
+				details = append(details, fmt.Sprintf("%s %v, was %v", name, f.value, earlier[i].value))
 			}
 		}
 		if len(details) > 0 {
--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -75,11 +75,11 @@
 	changed.Priority, changed.Timeout = 2, time.Second
 	before := &catalog.Catalog{Queues: []catalog.Queue{sound("a", "", "/a"), sound("b", "", "/b")}, Services: []catalog.Service{{Name: "s"}}}
 	after := &catalog.Catalog{Queues: []catalog.Queue{changed, sound("c", "", "/c")}, Services: []catalog.Service{{Name: "s", Guarded: true}}}
-	g.Expect(configcheck.Compare(before, after)).To(gomega.Equal([]configcheck.Change{
+	g.Expect(configcheck.Compare(before, after, configcheck.FieldNames{"Timeout": "TimeoutMs"})).To(gomega.Equal([]configcheck.Change{
 		{Kind: "removed", Where: `route "a"`},
 		{Kind: "changed", Where: `route "b"`, Detail: "Priority 2, was 0; TimeoutMs 1000, was 2000"},
 		{Kind: "added", Where: `route "c"`},
-		{Kind: "changed", Where: `service "s"`, Detail: "EnforcesCapacity true, was false"},
+		{Kind: "changed", Where: `service "s"`, Detail: "Guarded true, was false"},
 	}))
-	g.Expect(configcheck.Compare(after, after)).To(gomega.BeEmpty())
+	g.Expect(configcheck.Compare(after, after, nil)).To(gomega.BeEmpty())
 }
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -267,9 +267,10 @@
 	return err
 }
 
-// SetLinger passes the setting on to the TCP connection, if it is one.
+// SetLinger passes the setting on to the TCP connection, if it is one. It has no effect after a refusal, whose answer a reset could
+// destroy.
 func (c *Conn) SetLinger(seconds int) error {
-	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && !c.linger.Load() {
 		return tcp.SetLinger(seconds)
 	}
 	return nil
