--- a/internal/runs/placement.go
+++ b/internal/runs/placement.go
@@ -7,9 +7,6 @@
 const (
 	// PlaceByUrgency takes waiting tasks by tier, priority and latest start. A task that fits nowhere is skipped.
 	PlaceByUrgency Placement = iota
-	// PlaceBySize is PlaceByUrgency, but takes the larger of two waiting tasks of one tier and priority first. Only replays use
-	// it.
-	PlaceBySize
 	// PlaceAhead also reserves capacity that becomes free soon for a task that fits nowhere now.
 	PlaceAhead
 )
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -11,10 +11,7 @@
 )
 
 // waitingQueue holds the tasks that wait at the entry.
-type waitingQueue struct {
-	tasks        []*task
-	largestFirst bool // see runs.PlaceBySize
-}
+type waitingQueue struct{ tasks []*task }
 
 func (q *waitingQueue) Len() int { return len(q.tasks) }
 
@@ -35,12 +32,8 @@
 		t.job.tier = max(t.job.tier, t.tierAt(now, b)) // a job is as late as its most overdue task
 	}
 	slices.SortStableFunc(q.tasks, func(a, b *task) int {
-		bySize := 0
-		if q.largestFirst {
-			bySize = cmp.Compare(b.step.Needs.MilliCPU, a.step.Needs.MilliCPU)
-		}
 		return cmp.Or(
-			cmp.Compare(a.job.tier, b.job.tier), cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), bySize, a.latestStart.Compare(b.latestStart),
+			cmp.Compare(a.job.tier, b.job.tier), cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), a.latestStart.Compare(b.latestStart),
 		)
 	})
 }
--- a/internal/scheduler/replay/replay_test.go
+++ b/internal/scheduler/replay/replay_test.go
@@ -15,7 +15,7 @@
 var placements = []struct {
 	name      string
 	placement runs.Placement
-}{{"today", runs.PlaceByUrgency}, {"by size", runs.PlaceBySize}, {"reservations", runs.PlaceAhead}}
+}{{"today", runs.PlaceByUrgency}, {"reservations", runs.PlaceAhead}}
 
 // mean averages the figures of several seeds.
 func mean(all []Figures) Figures {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -200,8 +200,7 @@
 // New returns a scheduler without jobs or agents.
 func New(config Config) *Scheduler {
 	return &Scheduler{
-		waiting: waitingQueue{largestFirst: config.Placement == runs.PlaceBySize},
-		config:  config, jobs: make(map[string]*Job), offers: make(map[uint64]*task), agents: make(map[AgentID]*agent), shortWaits: make(shortWaitShares),
+		config: config, jobs: make(map[string]*Job), offers: make(map[uint64]*task), agents: make(map[AgentID]*agent), shortWaits: make(shortWaitShares),
 		shares: make(map[string]*serviceShares),
 	}
 }
